--- /dev/null
+++ b/packages/client/src/connection.cpp
@@ -0,0 +1,82 @@
+#include <sardinehinge/client/connection.h>
+
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QNetworkReply>
+#include <QThread>
+#include <QUrlQuery>
+#include <QUuid>
+
+namespace sardinehinge::client {
+
+namespace {
+
+constexpr int callTimeoutMs = 5000;
+constexpr int pollMs = 20;
+
+} // namespace
+
+Connection::Connection(const std::string &address)
+    : m_address(address)
+    , m_base(QString::fromStdString("http://" + address))
+{
+}
+
+core::Result<Answer> Connection::get(const QString &path)
+{
+    QUrl url = m_base;
+    url.setPath(path);
+    QNetworkRequest request(url);
+    request.setTransferTimeout(callTimeoutMs);
+    return finish(m_network.get(request));
+}
+
+core::Result<Answer> Connection::post(const QString &path, const std::vector<std::pair<QString, QString>> &query,
+                                      const QByteArray &body)
+{
+    QUrlQuery items;
+    for (const auto &[name, value] : query)
+        items.addQueryItem(name, QString::fromUtf8(QUrl::toPercentEncoding(value)));
+    QUrl url = m_base;
+    url.setPath(path);
+    url.setQuery(items);
+    QNetworkRequest request(url);
+    request.setTransferTimeout(callTimeoutMs);
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    return finish(m_network.post(request, body));
+}
+
+core::Result<Answer> Connection::awaitOperation(const QString &operation, int seconds)
+{
+    QElapsedTimer elapsed;
+    elapsed.start();
+    while (true) {
+        auto result = get("/operations/" + operation);
+        const auto *answer = std::get_if<Answer>(&result);
+        const bool isFinished = answer != nullptr && answer->body.value("finished").toBool();
+        if (isFinished || elapsed.elapsed() > seconds * 1000LL)
+            return result;
+        QThread::msleep(pollMs);
+    }
+}
+
+core::Result<Answer> Connection::finish(QNetworkReply *reply)
+{
+    QEventLoop loop;
+    QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
+    loop.exec();
+    reply->deleteLater();
+    const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (status == 0)
+        return core::Error{core::ErrorCode::TargetUnreachable, "connect", m_address,
+                           reply->errorString().toStdString()};
+    return Answer{status, QJsonDocument::fromJson(reply->readAll()).object()};
+}
+
+QString newOperationId()
+{
+    return QUuid::createUuid().toString(QUuid::WithoutBraces);
+}
+
+} // namespace sardinehinge::client
--- /dev/null
+++ b/packages/client/src/output.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <sardinehinge/client/arguments.h>
+#include <sardinehinge/client/commands.h>
+#include <sardinehinge/client/connection.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <iostream>
+#include <memory>
+
+namespace sardinehinge::client::internal {
+
+inline void printJson(const QJsonObject &object)
+{
+    std::cout << QJsonDocument(object).toJson(QJsonDocument::Indented).toStdString();
+}
+
+inline int fail(int status, const std::string &line)
+{
+    std::cerr << "sardinehingectl: " << line << '\n';
+    return status;
+}
+
+inline int fail(const core::Error &error)
+{
+    const std::string peer = error.peer.empty() ? std::string() : " " + error.peer;
+    return fail(exitFailed, error.step + peer + ": " + error.detail);
+}
+
+/// Prints the error object of an answer.
+inline int failWith(int status, const QJsonObject &error)
+{
+    return fail(status, (error.value("code").toString() + ": " + error.value("detail").toString()).toStdString());
+}
+
+/// The connection to the first daemon given, or nullptr after a line that says what is missing.
+inline std::unique_ptr<Connection> connect(const Arguments &arguments)
+{
+    if (arguments.daemons.empty()) {
+        fail(exitUsage, "--daemon=\"\": is required; SARDINEHINGE_DAEMON sets it too");
+        return nullptr;
+    }
+    return std::make_unique<Connection>(arguments.daemons.front());
+}
+
+} // namespace sardinehinge::client::internal
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/documents.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <sardinehinge/core/messages.h>
+#include <sardinehinge/core/types.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <variant>
+
+namespace sardinehinge::core {
+
+/// One version of a document: an object of the store and its revision there.
+struct Document
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string bytes;
+
+    bool operator==(const Document &) const = default;
+};
+
+/// Periods and sizes of spreading documents.
+struct DocumentTiming
+{
+    Duration digestPeriod = 500ms; ///< How often each daemon compares holdings with one random peer.
+    Duration fetchTimeout = 150ms; ///< A fetch without progress for this long is sent to another peer.
+    Duration watchBeat = 500ms; ///< How often a watcher hears from the store at least.
+    Duration storeSilence = 3s; ///< Age of the last word from the store after which more daemons watch.
+    Duration storeSilenceStep = 10s; ///< Each further such time doubles the number of watchers.
+    std::size_t watchers = 3; ///< Daemons that watch the store, whatever the size of the fleet.
+    std::size_t watchersLimit = 12; ///< Most daemons that ever watch, also while the store is down.
+    std::size_t fanOut = 16; ///< Peers that one daemon pushes a new document to.
+    std::size_t pieceBytes = 1100; ///< Content of one message, below the usual size of a datagram.
+    std::size_t documentLimit = 1024 * 1024; ///< Largest document, as in the store.
+
+    bool operator==(const DocumentTiming &) const = default;
+};
+
+// Events.
+
+struct DocumentsTick
+{
+};
+
+struct DocumentPeersChanged
+{
+    InstanceView view;
+};
+
+/// The store showed this version, by a watch, a read, or a write that applied.
+struct DocumentFromStore
+{
+    Document document;
+};
+
+/// The store answered a watch or a read, whatever it said.
+struct StoreHeard
+{
+};
+
+using DocumentsEvent = std::variant<DocumentsTick, DocumentPeersChanged, DocumentFromStore, StoreHeard>;
+
+// Effects.
+
+struct SendDocumentMessage
+{
+    std::string to;
+    PeerMessage message;
+};
+
+/// A newer version of a document is here. Versions of one document come in rising order.
+struct DocumentAdvanced
+{
+    Document document;
+};
+
+/// Whether this daemon is to watch the store from now on.
+struct WatchStore
+{
+    bool enabled = false;
+};
+
+using DocumentsEffect = std::variant<SendDocumentMessage, DocumentAdvanced, WatchStore>;
+
+/// Spreads versions of documents from the few daemons that watch the store to all.
+///
+/// Pure. A new version is pushed down a tree over the instance list (each receiver passes it on to `fanOut` children,
+/// so a push takes log(fleet) steps); every daemon also compares digests with a random peer, which heals any loss
+/// (anti-entropy after Demers et al., 1987). A version never goes back: a lower revision is ignored wherever it is
+/// from. How many daemons watch the store doesn't depend on the size of the fleet.
+class Documents
+{
+public:
+    using Effects = std::vector<DocumentsEffect>;
+
+    Documents(std::string selfId, std::uint64_t seed, DocumentTiming timing = {});
+
+    Effects handle(const DocumentsEvent &event, Time now);
+    Effects handle(const DaemonIdentity &from, const PeerMessage &message, Time now);
+
+    /// The version held, or nullptr. The pointer lives until the next call of handle().
+    const Document *find(const std::string &name) const noexcept;
+    const std::map<std::string, Document> &all() const noexcept { return m_documents; }
+    /// Time since anybody is known to have heard from the store.
+    Duration storeAge(Time now) const noexcept;
+    bool isWatching() const noexcept { return m_isWatching; }
+
+private:
+    /// A document that is arriving in pieces.
+    struct Arriving
+    {
+        std::uint64_t revision = 0;
+        std::uint32_t total = 0;
+        std::map<std::uint32_t, std::string> pieces;
+        std::size_t bytes = 0;
+        std::string source;
+        Time lastProgress = 0ms;
+    };
+
+    void onMessage(const std::string &from, const Piece &piece);
+    void onMessage(const std::string &from, const Fetch &fetch);
+    void onMessage(const std::string &from, const Digest &digest);
+    void onMessage(const std::string &from, const DigestList &list);
+    template<typename T>
+    void onMessage(const std::string &, const T &)
+    {
+    }
+
+    bool accept(const Document &document);
+    void push(const Document &document, bool isOrigin);
+    void sendDocument(const std::string &to, const Document &document);
+    void sendDigestList(const std::string &to, bool isReply);
+    void fetchFrom(const std::string &peer, const std::string &name, std::uint64_t revision);
+    void retryFetches();
+    void reviewWatching();
+    std::size_t watcherCount() const noexcept;
+    const std::string *randomPeer();
+    std::vector<std::string> childrenOf(const std::string &name) const;
+    const std::string &rootOf(const std::string &name) const;
+    void sendTo(const std::string &peer, PeerMessage message);
+
+    std::string m_self;
+    DocumentTiming m_timing;
+    std::mt19937_64 m_random;
+    Time m_now = 0ms;
+    Effects m_effects;
+    std::vector<std::string> m_peers; ///< All daemons of the list in rendezvous order, this one included.
+    std::size_t m_ownPlace = 0;
+    std::map<std::string, Document> m_documents;
+    std::map<std::string, Arriving> m_arriving;
+    std::uint64_t m_digestHash = 0; ///< Exclusive or of one hash a document, so that it changes in O(1).
+    Time m_storeHeard = 0ms;
+    Time m_startedAt = 0ms;
+    Time m_lastDigest = 0ms;
+    bool m_isWatching = false;
+};
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/requestrouter.h
@@ -0,0 +1,246 @@
+#pragma once
+
+#include <sardinehinge/core/assignment.h>
+#include <sardinehinge/core/messages.h>
+#include <sardinehinge/core/result.h>
+#include <sardinehinge/core/targetqueue.h>
+#include <sardinehinge/core/workspacespec.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <variant>
+
+namespace sardinehinge::core {
+
+using RequestId = std::uint64_t;
+
+/// What the router needs to know of a request. The body stays with the adapter.
+struct RequestHead
+{
+    RequestId id = 0; ///< Unique in this daemon.
+    ServiceId service;
+    std::string path; ///< Below the service, starting with `/`.
+    std::optional<std::string> key;
+    std::optional<std::uint32_t> shard; ///< Set for a part of a range read instead of a key.
+    std::string caller; ///< Whom fairness counts this request to.
+    std::optional<Duration> timeout; ///< The caller's own, if shorter than the rule's deadline.
+
+    bool operator==(const RequestHead &) const = default;
+};
+
+/// How one attempt at a target ended.
+enum class AttemptEnd {
+    Answered, ///< The whole answer is here.
+    Shed, ///< The target said that it didn't start the request: no slot free.
+    NotOwner, ///< The target said that it didn't start the request: it doesn't hold the shard at this epoch.
+    Leaving, ///< The target said that it didn't start the request: it is draining.
+    NothingSent, ///< No byte of the request was written.
+    AnswerLost, ///< Written at least in part, and the connection ended or the time ran out without an answer.
+    AnswerTruncated, ///< The connection ended within the answer.
+    LeaseLost, ///< The target ran the request but no longer held the shard when it ended.
+};
+
+/// Whether the request certainly did not run in an attempt that ended like this.
+constexpr bool isCertainlyNotRun(AttemptEnd end) noexcept
+{
+    return end == AttemptEnd::Shed || end == AttemptEnd::NotOwner || end == AttemptEnd::Leaving
+        || end == AttemptEnd::NothingSent;
+}
+
+// Events.
+
+struct RequestArrived
+{
+    RequestHead head;
+};
+
+struct AttemptFinished
+{
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+    AttemptEnd end = AttemptEnd::AnswerLost;
+};
+
+/// The caller closed its connection: nobody waits for the answer any more.
+struct CallerLeft
+{
+    RequestId id = 0;
+};
+
+struct RouterTick
+{
+};
+
+/// A workspace's parameters; nothing when it was removed.
+struct WorkspaceChanged
+{
+    std::string name;
+    std::optional<WorkspaceSpec> spec;
+};
+
+struct OwnersChanged
+{
+    ServiceId service;
+    Assignment assignment;
+};
+
+struct TargetsChanged
+{
+    InstanceView view;
+};
+
+using RouterEvent = std::variant<RequestArrived, AttemptFinished, CallerLeft, RouterTick, WorkspaceChanged,
+                                 OwnersChanged, TargetsChanged>;
+
+// Effects.
+
+/// Sends the request to a target. The adapter answers with exactly one AttemptFinished of the same number.
+struct StartAttempt
+{
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+    std::string target;
+    std::string address;
+    ShardEpoch shard;
+    bool isKeyed = false;
+    Time deadline = 0ms;
+};
+
+/// Nobody needs the attempt's answer; its slot stays taken until AttemptFinished.
+struct CancelAttempt
+{
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+
+/// The answer of attempt `attempt` goes to the caller.
+struct PassAnswer
+{
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+
+/// The request ends without an answer.
+struct Refuse
+{
+    RequestId id = 0;
+    bool notRun = false; ///< True only when it is certain; otherwise the outcome is unknown.
+    Error error;
+};
+
+using RouterEffect = std::variant<StartAttempt, CancelAttempt, PassAnswer, Refuse>;
+
+/// Limits of the router that don't belong to a workspace.
+struct RouterLimits
+{
+    std::size_t queuePerTarget = 2000; ///< Requests waiting for one target.
+    double retryShare = 0.1; ///< Retries that each arriving request pays in.
+    double retryBurst = 20; ///< Most retries saved up per service.
+    Duration ownerPoll = 4ms; ///< Wait before a request refused by a target that isn't the owner yet is sent again.
+    Duration shedPause = 2ms; ///< First pause of a target that shed a request; doubles up to shedPauseMax.
+    Duration shedPauseMax = 32ms;
+    Duration connectRetry = 15ms; ///< Wait before a request that couldn't be sent is sent again.
+    Duration longThreshold = 100ms; ///< Endpoints seen to take longer than this are treated as long work.
+
+    bool operator==(const RouterLimits &) const = default;
+};
+
+/// Takes each request from arrival to one of three ends: the whole answer, *not run*, or *unknown*.
+///
+/// Pure. Every RequestArrived ends in exactly one PassAnswer or Refuse, unless the caller left. `notRun` is true only
+/// when every attempt certainly did not run; a non-idempotent request is sent again only after such an attempt.
+class RequestRouter
+{
+public:
+    using Effects = std::vector<RouterEffect>;
+
+    explicit RequestRouter(std::uint64_t seed, RouterLimits limits = {});
+
+    Effects handle(const RouterEvent &event, Time now);
+
+    std::size_t activeRequests() const noexcept { return m_requests.size(); }
+    /// Requests under way at a target, from this daemon.
+    std::uint32_t inFlightAt(const std::string &target) const noexcept;
+    /// Requests that each shard of a service got since the last call of takeLoad().
+    std::map<std::uint32_t, double> takeLoad(const ServiceId &service);
+
+private:
+    enum class Phase { Waiting, Queued, InFlight };
+
+    struct Request
+    {
+        RequestHead head;
+        std::uint32_t shard = 0;
+        bool isKeyed = false;
+        bool isIdempotent = false;
+        WorkClass workClass = WorkClass::Short;
+        std::size_t rule = 0;
+        Time arrived = 0ms;
+        Time deadline = 0ms;
+        Time retryAt = 0ms;
+        Time sentAt = 0ms;
+        Phase phase = Phase::Waiting;
+        std::uint32_t attempt = 0;
+        std::string target;
+        bool mayHaveRun = false;
+        bool callerLeft = false;
+        Error lastError;
+    };
+
+    struct Service
+    {
+        std::optional<ServiceSpec> spec;
+        bool shuttingDown = false;
+        Assignment assignment;
+        std::vector<Instance> targets;
+        double retryTokens = 0;
+        std::map<std::uint32_t, double> load;
+        std::map<std::size_t, Duration> seenDuration; ///< By endpoint rule: smoothed time from sending to answer.
+    };
+
+    void onEvent(const RequestArrived &event);
+    void onEvent(const AttemptFinished &event);
+    void onEvent(const CallerLeft &event);
+    void onEvent(const RouterTick &event);
+    void onEvent(const WorkspaceChanged &event);
+    void onEvent(const OwnersChanged &event);
+    void onEvent(const TargetsChanged &event);
+
+    std::optional<Error> faultIn(const RequestHead &head) const;
+    Request makeRequest(const RequestHead &head, Service &service);
+    void route(Request &request);
+    static const Instance *findTarget(const Service &service, const std::string &id) noexcept;
+    void updateTargets(const ServiceId &id, Service &service);
+    void wakeWaiting(const ServiceId &service);
+    void finishAnswered(Request &request);
+    void finishFailed(Request &request, AttemptEnd end);
+    void endLate(Request &request);
+    const Instance *chooseTarget(const Request &request, Service &service, std::uint64_t &epoch);
+    void enqueue(Request &request, const std::string &target);
+    void startQueued(const std::string &target);
+    void start(Request &request, const Instance &target, std::uint64_t epoch);
+    void retryLater(Request &request, Duration wait);
+    bool spendRetry(Service &service) noexcept;
+    void endUncertain(Request &request, const Error &error);
+    void refuseAsNotRun(RequestId id, Error error);
+    void forget(RequestId id);
+    void learn(Service &service, const Request &request, Duration taken);
+    TargetQueue &queueOf(const std::string &target, const ServiceSpec &spec);
+    Service *serviceOf(const ServiceId &id);
+
+    RouterLimits m_limits;
+    std::mt19937_64 m_random;
+    Time m_now = 0ms;
+    Effects m_effects;
+    std::map<ServiceId, Service> m_services;
+    std::map<std::string, WorkspaceState> m_workspaces;
+    std::map<std::string, std::set<std::string>> m_drained; ///< By workspace.
+    InstanceView m_view;
+    std::unordered_map<RequestId, Request> m_requests;
+    std::unordered_map<std::string, TargetQueue> m_queues;
+};
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/controlgroup.cpp
@@ -0,0 +1,275 @@
+#include <sardinehinge/core/controlgroup.h>
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core {
+
+const char *controlRoleName(ControlRole role) noexcept
+{
+    switch (role) {
+    case ControlRole::Follower:
+        return "follower";
+    case ControlRole::Candidate:
+        return "candidate";
+    case ControlRole::Steward:
+        return "steward";
+    case ControlRole::Controller:
+        return "controller";
+    }
+    return "unknown";
+}
+
+ControlGroup::ControlGroup(ServiceId service, DaemonIdentity self, LeaseTiming timing, PlacementLimits limits)
+    : m_service(std::move(service))
+    , m_group(toString(m_service))
+    , m_self(std::move(self))
+    , m_timing(timing)
+    , m_limits(limits)
+    , m_witness(timing)
+{
+    m_knownIncarnations[m_self.id] = m_self.incarnation;
+}
+
+ControlGroup::Effects ControlGroup::handle(const ControlEvent &event, Time now)
+{
+    m_now = std::max(now, m_now);
+    if (m_startedAt == 0ms)
+        m_startedAt = m_now;
+    m_effects.clear();
+    std::visit([this](const auto &typed) { onEvent(typed); }, event);
+    run(std::holds_alternative<Tick>(event));
+    return std::exchange(m_effects, {});
+}
+
+void ControlGroup::noteIncarnation(const DaemonIdentity &daemon)
+{
+    auto &known = m_knownIncarnations[daemon.id];
+    known = std::max(known, daemon.incarnation);
+}
+
+Time ControlGroup::authorityEnd() const noexcept
+{
+    if (m_role != ControlRole::Steward && m_role != ControlRole::Controller)
+        return 0ms;
+    const Time confirmed = majorityConfirmedFrom(m_record.witnesses);
+    return confirmed == 0ms ? 0ms : confirmed + m_timing.controlLease;
+}
+
+bool ControlGroup::hasAuthority(Time now) const noexcept
+{
+    return now < authorityEnd();
+}
+
+bool ControlGroup::needsFastTicks() const noexcept
+{
+    const auto &witnesses = m_record.witnesses;
+    return m_role != ControlRole::Follower || witnesses.empty()
+        || std::find(witnesses.begin(), witnesses.end(), m_self) != witnesses.end();
+}
+
+std::size_t ControlGroup::unheldShards() const noexcept
+{
+    std::size_t count = 0;
+    for (std::uint32_t shard = 0; shard < m_assignment.shards.size(); ++shard) {
+        const auto &[target, epoch, previous] = m_assignment.shards[shard];
+        const auto lease = m_leases.find(target);
+        count += lease == m_leases.end() || !lease->second.held.contains({shard, epoch});
+    }
+    return count;
+}
+
+void ControlGroup::onEvent(const Tick &) { }
+
+void ControlGroup::onEvent(const InstancesChanged &event)
+{
+    // The list lags and its replicas may answer out of order; an older version says nothing new.
+    if (event.view.version < m_view.version)
+        return;
+    m_view = event.view;
+    m_targets = targetsOf(m_view, m_service);
+    m_listed.clear();
+    for (const Instance &instance : m_view.instances)
+        m_listed.insert(instance.id);
+}
+
+void ControlGroup::onEvent(const ServiceChanged &event)
+{
+    m_config = event;
+    m_workPending = true;
+}
+
+void ControlGroup::onEvent(const RecordLearnt &event)
+{
+    adoptRecord(event.record, event.revision);
+}
+
+void ControlGroup::onEvent(const AssignmentLearnt &event)
+{
+    if (m_role == ControlRole::Controller || event.revision <= m_assignmentRevision)
+        return;
+    m_assignment = event.assignment;
+    m_assignmentRevision = event.revision;
+}
+
+void ControlGroup::onEvent(const PeerReceived &event)
+{
+    noteIncarnation(event.from);
+    std::visit([&](const auto &message) { onMessage(event.from, message); }, event.message);
+}
+
+void ControlGroup::onEvent(const RecordRead &event)
+{
+    const bool isStale = !event.error && event.revision < m_recordRevision;
+    endCall(m_recordRead, !event.error && !isStale);
+    if (!event.error && !isStale)
+        adoptRecord(event.record, event.revision);
+}
+
+void ControlGroup::onEvent(const AssignmentRead &event)
+{
+    const bool isStale = !event.error && event.revision < m_assignmentRevision;
+    endCall(m_assignmentRead, !event.error && !isStale);
+    if (event.error || isStale || m_role != ControlRole::Controller)
+        return;
+    m_assignment = event.assignment;
+    m_assignmentRevision = event.revision;
+    m_assignmentFresh = true;
+    m_assignmentStamped = false;
+}
+
+void ControlGroup::onEvent(const RecordWritten &event)
+{
+    endCall(m_recordWrite, event.outcome.kind != WriteOutcome::Kind::Unknown);
+    if (event.outcome.kind == WriteOutcome::Kind::Applied && m_writingRecord.term == m_term)
+        adoptRecord(m_writingRecord, event.outcome.revision);
+    if (event.outcome.kind == WriteOutcome::Kind::Conflict)
+        m_recordKnown = false;
+}
+
+void ControlGroup::onEvent(const AssignmentWritten &event)
+{
+    endCall(m_assignmentWrite, event.outcome.kind != WriteOutcome::Kind::Unknown);
+    if (event.outcome.kind == WriteOutcome::Kind::Applied && event.outcome.revision > m_assignmentRevision) {
+        const bool isOurs = m_role == ControlRole::Controller && m_writing.term == m_term;
+        m_assignment = m_writing;
+        m_assignmentRevision = event.outcome.revision;
+        m_assignmentFresh = m_assignmentFresh && isOurs;
+        m_assignmentStamped = isOurs;
+        m_workPending = true;
+        note(events::assignmentWritten, m_group + " revision " + std::to_string(m_assignmentRevision));
+    }
+    // After a conflict or a lost answer what the store holds is unknown until it is read again.
+    if (event.outcome.kind != WriteOutcome::Kind::Applied)
+        m_assignmentFresh = false;
+    if (event.outcome.kind == WriteOutcome::Kind::Conflict)
+        m_recordKnown = false;
+}
+
+void ControlGroup::onEvent(const TargetReported &event)
+{
+    const TargetReport &report = event.report;
+    m_highestTermSeen = std::max(m_highestTermSeen, report.term);
+    if (m_role != ControlRole::Steward && m_role != ControlRole::Controller)
+        return;
+    TargetLease &lease = m_leases[event.target];
+    if (report.sequence == lease.sentSequence)
+        lease.orderPending = false;
+    if (!report.accepted && report.term > m_term) {
+        stepDown("target " + event.target + " has seen term " + std::to_string(report.term));
+        return;
+    }
+    if (!report.accepted && report.incarnation != lease.incarnation) {
+        // Another process answers at the address: ask for its clock before anything is granted to it.
+        lease.incarnation = 0;
+        lease.orderSentAt = 0ms;
+    }
+    if (!report.accepted || report.sequence <= lease.reportSequence)
+        return;
+    if (lease.lost || lease.lastReport == 0ms)
+        note(events::targetReported, m_group + " " + event.target);
+    lease.incarnation = report.incarnation;
+    lease.anchor = report.clock;
+    lease.anchorReceivedAt = m_now;
+    lease.lastReport = m_now;
+    lease.reportSequence = report.sequence;
+    lease.reportedThisTerm = true;
+    lease.processGone = false;
+    lease.lost = false;
+    std::set<ShardEpoch> held(report.held.begin(), report.held.end());
+    m_workPending = m_workPending || held != lease.held || !lease.hasBeenOrdered;
+    lease.hasBeenOrdered = true;
+    lease.held = std::move(held);
+}
+
+void ControlGroup::onEvent(const TargetSilent &event)
+{
+    const auto found = m_leases.find(event.target);
+    if (found == m_leases.end() || event.sequence != found->second.sentSequence)
+        return;
+    found->second.orderPending = false;
+    if (event.refused)
+        found->second.processGone = true;
+}
+
+void ControlGroup::onEvent(const LoadMeasured &event)
+{
+    m_load = event.load;
+}
+
+void ControlGroup::onEvent(const Resigned &)
+{
+    m_resigned = true;
+    if (m_role != ControlRole::Follower)
+        stepDown("the daemon is stopping");
+}
+
+void ControlGroup::run(bool isTick)
+{
+    if (!m_config.spec) {
+        if (m_role != ControlRole::Follower)
+            stepDown("the service was removed");
+        return;
+    }
+    considerCandidacy();
+    if (m_role == ControlRole::Candidate)
+        askForPromises();
+    if (m_role == ControlRole::Steward || m_role == ControlRole::Controller)
+        sendHeartbeats();
+    if (m_role == ControlRole::Steward)
+        advanceTakeover();
+    if (m_role == ControlRole::Controller) {
+        replaceSilentWitnesses();
+        markLostTargets();
+        readWhatIsUnknown();
+        if (isTick)
+            planAndWrite();
+    }
+    sendOrders();
+}
+
+void ControlGroup::note(std::uint32_t event, std::string detail)
+{
+    m_effects.push_back(Noted{event, std::move(detail)});
+}
+
+bool ControlGroup::mayCall(const StoreCall &call) const noexcept
+{
+    return !call.pending && m_now >= call.retryAt;
+}
+
+void ControlGroup::beginCall(StoreCall &call) const noexcept
+{
+    call.pending = true;
+}
+
+void ControlGroup::endCall(StoreCall &call, bool succeeded) const noexcept
+{
+    call.pending = false;
+    call.backoff = succeeded ? 0ms : std::clamp(call.backoff * 2, m_timing.storeRetry, m_timing.storeRetryMax);
+    call.retryAt = m_now + call.backoff;
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/controlgroup_targets.cpp
@@ -0,0 +1,235 @@
+#include <sardinehinge/core/controlgroup.h>
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace sardinehinge::core {
+
+namespace {
+
+constexpr Duration workReviewPeriod = 100ms; ///< How often grants that wait for time to pass are looked at again.
+constexpr Duration firstReports = 150ms; ///< Wait for targets to report before the first plan of a term.
+
+} // namespace
+
+bool ControlGroup::checksFences() const noexcept
+{
+    return m_config.spec && m_config.spec->targetsCheckFences;
+}
+
+void ControlGroup::sendOrders()
+{
+    if (!hasAuthority(m_now))
+        return;
+    // A target that takes any order could be given back what it lost; only a controller that knows may order it.
+    if (m_role == ControlRole::Steward && !checksFences())
+        return;
+    // Before the first record targets hold nothing that could be renewed, and terms of rivals aren't kept apart yet.
+    if (m_record.witnesses.empty())
+        return;
+    if (m_now - m_lastWorkReview >= workReviewPeriod && unheldShards() != 0) {
+        m_lastWorkReview = m_now;
+        m_workPending = true;
+    }
+    bool hasWork = false;
+    for (const Instance &target : m_targets)
+        hasWork |= sendOrder(target, m_leases[target.id]);
+    m_workPending = m_workPending && hasWork;
+}
+
+/// Sends what is due. Returns whether the target has grants or releases to act on, as far as that is known.
+bool ControlGroup::sendOrder(const Instance &target, TargetLease &lease)
+{
+    if (!isOrderDue(lease))
+        return lease.orderPending || m_workPending;
+    TargetOrder order = orderFor(target.id, lease);
+    const bool hasWork = !order.grants.empty() || !order.releases.empty();
+    const bool isFirst = lease.sentSequence == 0 || lease.incarnation == 0;
+    if (!hasWork && !isFirst && m_now - lease.orderSentAt < m_timing.renewPeriod)
+        return false;
+    order.sequence = m_nextSequence++;
+    lease.sentSequence = order.sequence;
+    lease.orderSentAt = m_now;
+    lease.orderPending = true;
+    if (!order.grants.empty())
+        lease.grantSequence = order.sequence;
+    // The reading was taken before it arrived, so counting from its arrival is never too short. A target that doesn't
+    // check fences counts from the receipt of the order, which has no bound here: see leaseSurelyEnded.
+    if (order.targetIncarnation != 0)
+        lease.endsBy = std::max(lease.endsBy, lease.anchorReceivedAt + withDrift(m_timing, m_timing.targetLease));
+    m_effects.push_back(OrderTarget{target.id, target.address, std::move(order), authorityEnd()});
+    return true;
+}
+
+TargetOrder ControlGroup::orderFor(const std::string &target, const TargetLease &lease) const
+{
+    TargetOrder order{m_group, m_term, 0, lease.incarnation, lease.anchor, m_timing.targetLease, {}, {}};
+    const bool mayChange = m_role == ControlRole::Controller && m_assignmentFresh && m_assignmentStamped;
+    if (!mayChange || lease.incarnation == 0)
+        return order;
+    for (const ShardEpoch &held : lease.held) {
+        const bool isRecorded = held.shard < m_assignment.shards.size()
+            && m_assignment.shards[held.shard].target == target && m_assignment.shards[held.shard].epoch == held.epoch;
+        if (!isRecorded || m_config.shuttingDown)
+            order.releases.push_back(held);
+    }
+    if (m_config.shuttingDown)
+        return order;
+    for (std::uint32_t shard = 0; shard < m_assignment.shards.size(); ++shard) {
+        const ShardOwner &owner = m_assignment.shards[shard];
+        if (owner.target == target && !lease.held.contains({shard, owner.epoch}) && mayGrant(owner, shard))
+            order.grants.push_back({shard, owner.epoch});
+    }
+    return order;
+}
+
+bool ControlGroup::isOrderDue(const TargetLease &lease) const
+{
+    const Duration sinceLast = m_now - lease.orderSentAt;
+    if (lease.orderPending)
+        return sinceLast >= m_timing.orderTimeout;
+    return sinceLast >= (m_workPending ? m_timing.handoverPoll : m_timing.renewPeriod) || lease.sentSequence == 0;
+}
+
+bool ControlGroup::mayGrant(const ShardOwner &owner, std::uint32_t shard) const
+{
+    return hasLetGo(owner.previousTarget, shard, owner.epoch);
+}
+
+/// Whether `target` certainly holds no grant of `shard` from before `beforeEpoch`, and can't come to hold one.
+bool ControlGroup::hasLetGo(const std::string &target, std::uint32_t shard, std::uint64_t beforeEpoch) const
+{
+    if (target.empty())
+        return true;
+    if (const auto found = m_leases.find(target); found != m_leases.end() && found->second.reportedThisTerm) {
+        const TargetLease &lease = found->second;
+        const auto holds = [&](const ShardEpoch &held) { return held.shard == shard && held.epoch < beforeEpoch; };
+        const bool isHeld = std::any_of(lease.held.begin(), lease.held.end(), holds);
+        // An order under way could still give the shard back unless the target reported on a later one.
+        if (!isHeld && lease.reportSequence >= lease.grantSequence)
+            return true;
+    }
+    return leaseSurelyEnded(target);
+}
+
+/// Whether every grant that `target` ever got has ended, and no other daemon can have extended one.
+///
+/// The end must lie before a heartbeat that a majority of witnesses acknowledged. A later controller needs a promise
+/// from one of those witnesses, which it can only get after that heartbeat: so its first renewal finds the grants
+/// ended, and a renewal doesn't revive a grant that has ended.
+bool ControlGroup::leaseSurelyEnded(const std::string &target) const
+{
+    const auto found = m_leases.find(target);
+    const bool isKnown = found != m_leases.end();
+    if (isKnown && found->second.processGone && !checksFences())
+        return true;
+    if (!checksFences())
+        return !m_listed.contains(target);
+    const Time earlierTermsEnd
+        = m_fencedAt + withDrift(m_timing, m_timing.controlLease) + withDrift(m_timing, m_timing.targetLease);
+    const Time end = isKnown && found->second.reportedThisTerm
+        ? found->second.endsBy
+        : std::max(earlierTermsEnd, isKnown ? found->second.endsBy : 0ms);
+    return majorityConfirmedFrom(m_record.witnesses) > end;
+}
+
+void ControlGroup::markLostTargets()
+{
+    for (auto &[target, lease] : m_leases) {
+        if (lease.lost || !leaseSurelyEnded(target))
+            continue;
+        lease.lost = true;
+        lease.held.clear();
+        m_workPending = true;
+        note(events::targetLost, m_group + " " + target);
+    }
+    // An entry that the instance list no longer shows is kept only while a grant could still hold.
+    std::erase_if(m_leases, [this](const auto &entry) { return entry.second.lost && !m_listed.contains(entry.first); });
+}
+
+std::vector<PlacementTarget> ControlGroup::placementTargets() const
+{
+    std::vector<PlacementTarget> targets;
+    for (const Instance &instance : m_targets) {
+        const auto found = m_leases.find(instance.id);
+        const bool isLost = found != m_leases.end() && found->second.lost;
+        const bool isLeaving = instance.leaving || m_config.drainedTargets.contains(instance.id);
+        const bool answers = found != m_leases.end() && found->second.reportedThisTerm
+            && m_now - found->second.lastReport < m_timing.renewPeriod + m_timing.orderTimeout;
+        targets.push_back({instance.id, instance.failureDomain, !isLost && !isLeaving, answers});
+    }
+    return targets;
+}
+
+/// A shard may change its owner only when the owner before the present one is out, since the record names just one
+/// previous owner.
+bool ControlGroup::isMovable(std::uint32_t shard) const
+{
+    const ShardOwner &owner = m_assignment.shards[shard];
+    return owner.target.empty() || mayGrant(owner, shard);
+}
+
+Assignment ControlGroup::resizedAssignment() const
+{
+    Assignment next = m_assignment;
+    next.term = m_term;
+    next.shards.resize(m_config.spec->shardCount);
+    return next;
+}
+
+bool ControlGroup::isReadyToPlan() const
+{
+    return m_assignmentFresh && mayCall(m_assignmentWrite) && hasAuthority(m_now)
+        && m_now - m_roleSince >= firstReports;
+}
+
+void ControlGroup::readWhatIsUnknown()
+{
+    if (!m_assignmentFresh && !m_assignmentWrite.pending && mayCall(m_assignmentRead)) {
+        beginCall(m_assignmentRead);
+        m_effects.push_back(ReadAssignment{});
+    }
+    if (!m_recordKnown && mayCall(m_recordRead)) {
+        beginCall(m_recordRead);
+        m_effects.push_back(ReadRecord{});
+    }
+}
+
+std::size_t ControlGroup::applyMoves(Assignment &next, const std::vector<Move> &moves) const
+{
+    std::size_t moved = 0;
+    for (const Move &move : moves) {
+        if (move.shard < m_assignment.shards.size() && !isMovable(move.shard))
+            continue;
+        ShardOwner &owner = next.shards[move.shard];
+        owner = ShardOwner{move.to, owner.epoch + 1, owner.target};
+        ++moved;
+    }
+    return moved;
+}
+
+void ControlGroup::planAndWrite()
+{
+    if (!isReadyToPlan())
+        return;
+    // Voluntary moves are paced, so that a cold target gets its work slowly and a shard rests between moves.
+    const bool isRebalanceDue = m_now - m_lastPlan >= m_timing.rebalancePeriod && unheldShards() == 0;
+    PlacementLimits limits = m_limits;
+    if (isRebalanceDue)
+        m_lastPlan = m_now;
+    else
+        limits.maxVoluntaryMoves = 0;
+    Assignment next = resizedAssignment();
+    const std::size_t moved = applyMoves(next, planMoves(next, placementTargets(), m_load, limits));
+    if (m_assignmentStamped && moved == 0)
+        return;
+    if (moved != 0)
+        note(events::movesPlanned, m_group + " " + std::to_string(moved) + " shards");
+    beginCall(m_assignmentWrite);
+    m_writing = std::move(next);
+    m_effects.push_back(WriteAssignment{m_writing, m_assignmentRevision});
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/history.cpp
@@ -0,0 +1,128 @@
+#include <sardinehinge/core/history.h>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace sardinehinge::core {
+
+namespace {
+
+using Shard = std::pair<std::string, std::uint32_t>;
+
+std::string name(const Shard &shard)
+{
+    return shard.first + " shard " + std::to_string(shard.second);
+}
+
+void checkOneOwner(const History &history, std::vector<Violation> &violations)
+{
+    std::map<Shard, std::vector<const HoldRecord *>> byShard;
+    for (const HoldRecord &hold : history.holds)
+        byShard[{hold.group, hold.shard}].push_back(&hold);
+    for (auto &[shard, holds] : byShard) {
+        std::sort(holds.begin(), holds.end(), [](const HoldRecord *a, const HoldRecord *b) {
+            return std::tie(a->from, a->until) < std::tie(b->from, b->until);
+        });
+        // The hold that reaches furthest is the one that a later hold can overlap; so is the furthest of another
+        // target.
+        const HoldRecord *furthest = nullptr;
+        const HoldRecord *furthestOther = nullptr;
+        for (const HoldRecord *hold : holds) {
+            for (const HoldRecord *earlier : {furthest, furthestOther}) {
+                if (earlier != nullptr && earlier->target != hold->target && hold->from < earlier->until)
+                    violations.push_back({"one-owner",
+                                          name(shard) + ": " + earlier->target + " until "
+                                              + std::to_string(earlier->until) + ", " + hold->target + " from "
+                                              + std::to_string(hold->from)});
+            }
+            if (furthest == nullptr || hold->until > furthest->until) {
+                if (furthest != nullptr && furthest->target != hold->target)
+                    furthestOther = furthest;
+                furthest = hold;
+            } else if (hold->target != furthest->target
+                       && (furthestOther == nullptr || hold->until > furthestOther->until)) {
+                furthestOther = hold;
+            }
+        }
+    }
+}
+
+void checkHeldWhileRun(const History &history, std::vector<Violation> &violations)
+{
+    std::map<std::tuple<std::string, std::uint32_t, std::uint64_t, std::string>, std::vector<const HoldRecord *>> holds;
+    for (const HoldRecord &hold : history.holds)
+        holds[{hold.group, hold.shard, hold.epoch, hold.target}].push_back(&hold);
+    for (const ExecutionRecord &run : history.executions) {
+        if (run.group.empty())
+            continue;
+        const auto found = holds.find({run.group, run.shard, run.epoch, run.target});
+        const auto covers = [&run](const HoldRecord *hold) { return hold->from <= run.at && run.at < hold->until; };
+        const bool isHeld = found != holds.end() && std::any_of(found->second.begin(), found->second.end(), covers);
+        if (!isHeld)
+            violations.push_back({"held-while-run", run.request + " at " + run.target});
+    }
+}
+
+void checkRequests(const History &history, std::vector<Violation> &violations)
+{
+    std::unordered_map<std::string, int> runs;
+    for (const ExecutionRecord &run : history.executions)
+        ++runs[run.request];
+    for (const AnswerRecord &answer : history.answers) {
+        const auto found = runs.find(answer.request);
+        const int count = found == runs.end() ? 0 : found->second;
+        if (!answer.isIdempotent && count > 1)
+            violations.push_back({"at-most-once", answer.request + " ran " + std::to_string(count) + " times"});
+        if (answer.outcome == CallerOutcome::NotRun && count > 0)
+            violations.push_back({"not-run", answer.request + " was refused as not run and ran"});
+        if (answer.outcome == CallerOutcome::Done && answer.echoedRequest != answer.request)
+            violations.push_back({"own-answer", answer.request + " got the answer of " + answer.echoedRequest});
+    }
+}
+
+void checkRevisions(const History &history, std::vector<Violation> &violations)
+{
+    std::map<std::pair<std::string, std::string>, std::uint64_t> latest;
+    for (const RevisionRecord &record : history.revisions) {
+        std::uint64_t &known = latest[{record.daemon, record.document}];
+        if (record.revision < known)
+            violations.push_back({"no-revert",
+                                  record.daemon + " " + record.document + " from " + std::to_string(known) + " to "
+                                      + std::to_string(record.revision)});
+        known = std::max(known, record.revision);
+    }
+}
+
+void checkOwners(const History &history, std::vector<Violation> &violations)
+{
+    std::map<Shard, const OwnerRecord *> latest;
+    for (const OwnerRecord &owner : history.owners) {
+        const OwnerRecord *&known = latest[{owner.group, owner.shard}];
+        const bool isLost = known != nullptr
+            && (owner.epoch < known->epoch || (owner.epoch == known->epoch && owner.target != known->target));
+        if (isLost)
+            violations.push_back({"owner-kept",
+                                  name({owner.group, owner.shard}) + ": epoch " + std::to_string(known->epoch) + " of "
+                                      + known->target + ", then " + std::to_string(owner.epoch) + " of "
+                                      + owner.target});
+        known = &owner;
+    }
+}
+
+} // namespace
+
+std::vector<Violation> violationsIn(const History &history)
+{
+    std::vector<Violation> violations;
+    checkOneOwner(history, violations);
+    checkHeldWhileRun(history, violations);
+    checkRequests(history, violations);
+    checkRevisions(history, violations);
+    checkOwners(history, violations);
+    return violations;
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/requestrouter.cpp
@@ -0,0 +1,460 @@
+#include <sardinehinge/core/requestrouter.h>
+
+#include <sardinehinge/core/sharding.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core {
+
+namespace {
+
+constexpr int durationSmoothing = 16; ///< Weight of the past against one new measurement.
+
+const char *describe(AttemptEnd end) noexcept
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::Shed:
+        return "the target has no free slot";
+    case AttemptEnd::NotOwner:
+        return "the target doesn't hold the key's shard";
+    case AttemptEnd::Leaving:
+        return "the target is leaving";
+    case AttemptEnd::NothingSent:
+        return "no connection to the target";
+    case AttemptEnd::AnswerLost:
+        return "the target's answer did not arrive";
+    case AttemptEnd::AnswerTruncated:
+        return "the target's answer ended early";
+    case AttemptEnd::LeaseLost:
+        return "the target lost the key's shard while the request ran";
+    }
+    return "unknown";
+}
+
+ErrorCode codeOf(AttemptEnd end) noexcept
+{
+    switch (end) {
+    case AttemptEnd::Shed:
+        return ErrorCode::Overloaded;
+    case AttemptEnd::NotOwner:
+        return ErrorCode::NoOwner;
+    case AttemptEnd::Leaving:
+    case AttemptEnd::NothingSent:
+        return ErrorCode::TargetUnreachable;
+    case AttemptEnd::AnswerTruncated:
+        return ErrorCode::AnswerTruncated;
+    case AttemptEnd::LeaseLost:
+        return ErrorCode::LeaseLost;
+    case AttemptEnd::Answered:
+    case AttemptEnd::AnswerLost:
+        break;
+    }
+    return ErrorCode::AnswerLost;
+}
+
+} // namespace
+
+RequestRouter::RequestRouter(std::uint64_t seed, RouterLimits limits)
+    : m_limits(limits)
+    , m_random(seed)
+{
+}
+
+RequestRouter::Effects RequestRouter::handle(const RouterEvent &event, Time now)
+{
+    m_now = std::max(m_now, now);
+    m_effects.clear();
+    std::visit([this](const auto &typed) { onEvent(typed); }, event);
+    return std::exchange(m_effects, {});
+}
+
+std::uint32_t RequestRouter::inFlightAt(const std::string &target) const noexcept
+{
+    const auto found = m_queues.find(target);
+    return found == m_queues.end() ? 0 : found->second.running();
+}
+
+std::map<std::uint32_t, double> RequestRouter::takeLoad(const ServiceId &service)
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::map<std::uint32_t, double>{} : std::exchange(found->second.load, {});
+}
+
+void RequestRouter::onEvent(const RequestArrived &event)
+{
+    const RequestHead &head = event.head;
+    if (auto fault = faultIn(head))
+        return refuseAsNotRun(head.id, std::move(*fault));
+    Service &service = m_services[head.service];
+    Request request = makeRequest(head, service);
+    service.load[request.shard] += 1;
+    service.retryTokens = std::min(m_limits.retryBurst, service.retryTokens + m_limits.retryShare);
+    route(m_requests.insert_or_assign(head.id, std::move(request)).first->second);
+}
+
+std::optional<Error> RequestRouter::faultIn(const RequestHead &head) const
+{
+    const std::string step = "route";
+    if (!m_workspaces.contains(head.service.workspace))
+        return Error{ErrorCode::UnknownWorkspace, step, {}, "no workspace " + head.service.workspace};
+    const auto found = m_services.find(head.service);
+    if (found == m_services.end() || !found->second.spec)
+        return Error{ErrorCode::UnknownService, step, {}, "no service " + toString(head.service)};
+    if (found->second.shuttingDown)
+        return Error{ErrorCode::ShuttingDown, step, {}, "workspace " + head.service.workspace + " is shutting down"};
+    const bool isKeyed = found->second.spec->division != Division::None;
+    if (isKeyed && !head.key && !head.shard)
+        return Error{ErrorCode::MissingKey, step, {}, "service " + toString(head.service) + " needs a key"};
+    return std::nullopt;
+}
+
+RequestRouter::Request RequestRouter::makeRequest(const RequestHead &head, Service &service)
+{
+    const ServiceSpec &spec = *service.spec;
+    const EndpointRule &rule = ruleFor(spec, head.path);
+    Request request;
+    request.head = head;
+    request.isKeyed = spec.division != Division::None;
+    request.shard = head.shard ? *head.shard : shardOf(spec, head.key.value_or(std::string()));
+    request.isIdempotent = rule.idempotent;
+    // The default rule isn't in the list and gets an index of its own.
+    const auto begin = spec.endpoints.data();
+    const bool isListed = &rule >= begin && &rule < begin + spec.endpoints.size();
+    request.rule = isListed ? static_cast<std::size_t>(&rule - begin) : spec.endpoints.size();
+    const bool isSeenLong = service.seenDuration[request.rule] > m_limits.longThreshold;
+    request.workClass = isSeenLong ? WorkClass::Long : rule.workClass;
+    request.arrived = m_now;
+    request.deadline = m_now + std::min(rule.deadline, head.timeout.value_or(rule.deadline));
+    return request;
+}
+
+RequestRouter::Service *RequestRouter::serviceOf(const ServiceId &id)
+{
+    const auto found = m_services.find(id);
+    return found == m_services.end() || !found->second.spec ? nullptr : &found->second;
+}
+
+TargetQueue &RequestRouter::queueOf(const std::string &target, const ServiceSpec &spec)
+{
+    return m_queues.try_emplace(target, spec.slotsPerTarget, spec.longSlotsPerTarget).first->second;
+}
+
+/// The target that a request should go to now, or nullptr when none is known.
+const Instance *RequestRouter::chooseTarget(const Request &request, Service &service, std::uint64_t &epoch)
+{
+    if (request.isKeyed) {
+        if (request.shard >= service.assignment.shards.size())
+            return nullptr;
+        const ShardOwner &owner = service.assignment.shards[request.shard];
+        epoch = owner.epoch;
+        return findTarget(service, owner.target);
+    }
+    // The better of two random choices (Mitzenmacher, 2001): no herd runs to the one that looks idle.
+    std::vector<const Instance *> usable;
+    for (const Instance &target : service.targets) {
+        if (!target.leaving && target.id != request.target)
+            usable.push_back(&target);
+    }
+    if (usable.empty())
+        return findTarget(service, request.target);
+    std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
+    const Instance *first = usable[pick(m_random)];
+    const Instance *second = usable[pick(m_random)];
+    const auto burden = [&](const Instance *target) {
+        const TargetQueue &queue = queueOf(target->id, *service.spec);
+        return static_cast<double>(queue.waiting() + queue.running()) / queue.limit();
+    };
+    return burden(second) < burden(first) ? second : first;
+}
+
+void RequestRouter::route(Request &request)
+{
+    Service *service = serviceOf(request.head.service);
+    if (service == nullptr)
+        return endUncertain(request, {ErrorCode::UnknownService, "route", {}, "the service was removed"});
+    std::uint64_t epoch = 0;
+    const Instance *target = chooseTarget(request, *service, epoch);
+    if (target == nullptr) {
+        request.lastError = {ErrorCode::NoOwner, "route", {}, "no target owns the key at present"};
+        return retryLater(request, m_limits.ownerPoll);
+    }
+    enqueue(request, target->id);
+}
+
+void RequestRouter::enqueue(Request &request, const std::string &target)
+{
+    TargetQueue &queue = queueOf(target, *m_services[request.head.service].spec);
+    const bool isTooLate = m_now + queue.expectedWait() >= request.deadline;
+    if (queue.waiting() >= m_limits.queuePerTarget || isTooLate)
+        return endUncertain(request,
+                            {ErrorCode::Overloaded, "queue", target, "the queue exceeds the request's deadline"});
+    request.phase = Phase::Queued;
+    request.target = target;
+    queue.push(request.head.id, request.head.caller, request.workClass);
+    startQueued(target);
+}
+
+void RequestRouter::startQueued(const std::string &target)
+{
+    const auto found = m_queues.find(target);
+    if (found == m_queues.end())
+        return;
+    while (const auto id = found->second.takeNext(m_now)) {
+        Request &request = m_requests.at(*id);
+        Service *service = serviceOf(request.head.service);
+        std::uint64_t epoch = 0;
+        const Instance *chosen = service == nullptr ? nullptr : findTarget(*service, target);
+        if (chosen != nullptr && request.isKeyed) {
+            const ShardOwner &owner = service->assignment.shards.at(request.shard);
+            epoch = owner.epoch;
+            if (owner.target != target)
+                chosen = nullptr;
+        }
+        if (chosen != nullptr) {
+            start(request, *chosen, epoch);
+            continue;
+        }
+        // The owner changed while the request waited.
+        found->second.finished(request.workClass, false, m_now, m_limits.shedPause, m_limits.shedPauseMax);
+        retryLater(request, 0ms);
+    }
+}
+
+void RequestRouter::start(Request &request, const Instance &target, std::uint64_t epoch)
+{
+    request.phase = Phase::InFlight;
+    request.sentAt = m_now;
+    ++request.attempt;
+    m_effects.push_back(StartAttempt{request.head.id,
+                                     request.attempt,
+                                     target.id,
+                                     target.address,
+                                     {request.shard, epoch},
+                                     request.isKeyed,
+                                     request.deadline});
+}
+
+const Instance *RequestRouter::findTarget(const Service &service, const std::string &id) noexcept
+{
+    const auto found = std::find_if(service.targets.begin(), service.targets.end(),
+                                    [&id](const Instance &target) { return target.id == id; });
+    return found == service.targets.end() ? nullptr : &*found;
+}
+
+void RequestRouter::onEvent(const AttemptFinished &event)
+{
+    const auto found = m_requests.find(event.id);
+    if (found == m_requests.end() || found->second.attempt != event.attempt || found->second.phase != Phase::InFlight)
+        return;
+    Request &request = found->second;
+    const std::string target = request.target;
+    const bool wasShed = event.end == AttemptEnd::Shed;
+    if (auto queue = m_queues.find(target); queue != m_queues.end())
+        queue->second.finished(request.workClass, wasShed, m_now, m_limits.shedPause, m_limits.shedPauseMax);
+    if (event.end == AttemptEnd::Answered)
+        finishAnswered(request);
+    else
+        finishFailed(request, event.end);
+    startQueued(target);
+}
+
+void RequestRouter::finishAnswered(Request &request)
+{
+    if (Service *service = serviceOf(request.head.service))
+        learn(*service, request, m_now - request.sentAt);
+    if (!request.callerLeft)
+        m_effects.push_back(PassAnswer{request.head.id, request.attempt});
+    forget(request.head.id);
+}
+
+void RequestRouter::finishFailed(Request &request, AttemptEnd end)
+{
+    if (request.callerLeft)
+        return forget(request.head.id);
+    request.phase = Phase::Waiting;
+    request.lastError = Error{codeOf(end), "target", request.target, describe(end)};
+    request.mayHaveRun = request.mayHaveRun || !isCertainlyNotRun(end);
+    if (!isCertainlyNotRun(end) && !request.isIdempotent)
+        return endUncertain(request, request.lastError);
+    // A target that isn't the owner yet, or not any more, costs no budget: the wait ends with the handover.
+    const bool isHandover = end == AttemptEnd::NotOwner;
+    // So does a full target: the request keeps its turn, and the pause of the target bounds the rate.
+    const bool isFull = end == AttemptEnd::Shed;
+    Service *service = serviceOf(request.head.service);
+    if (!isHandover && !isFull && (service == nullptr || !spendRetry(*service)))
+        return endUncertain(request, request.lastError);
+    if (isFull && request.isKeyed) {
+        request.phase = Phase::Queued;
+        m_queues.at(request.target).pushFront(request.head.id, request.head.caller, request.workClass);
+        return;
+    }
+    retryLater(request, isHandover ? m_limits.ownerPoll : m_limits.connectRetry);
+}
+
+void RequestRouter::learn(Service &service, const Request &request, Duration taken)
+{
+    Duration &seen = service.seenDuration[request.rule];
+    seen = seen == 0ms ? taken : seen + (taken - seen) / durationSmoothing;
+    if (request.workClass == WorkClass::Short)
+        queueOf(request.target, *service.spec).learnDuration(taken);
+}
+
+void RequestRouter::onEvent(const CallerLeft &event)
+{
+    const auto found = m_requests.find(event.id);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    if (request.phase != Phase::InFlight) {
+        if (request.phase == Phase::Queued)
+            m_queues.at(request.target).remove(event.id, request.head.caller, request.workClass);
+        return forget(event.id);
+    }
+    request.callerLeft = true;
+    m_effects.push_back(CancelAttempt{event.id, request.attempt});
+}
+
+void RequestRouter::onEvent(const RouterTick &)
+{
+    std::vector<RequestId> due;
+    std::vector<RequestId> late;
+    for (auto &[id, request] : m_requests) {
+        if (request.phase == Phase::InFlight)
+            continue; // The adapter ends attempts at their deadline.
+        if (m_now >= request.deadline)
+            late.push_back(id);
+        else if (request.phase == Phase::Waiting && m_now >= request.retryAt)
+            due.push_back(id);
+    }
+    // Identifiers rise with arrival: sorting makes the order that of arrival and the same on every run.
+    std::sort(due.begin(), due.end());
+    std::sort(late.begin(), late.end());
+    for (const RequestId id : late)
+        endLate(m_requests.at(id));
+    for (const RequestId id : due) {
+        if (const auto found = m_requests.find(id); found != m_requests.end())
+            route(found->second);
+    }
+    std::vector<std::string> targets;
+    for (const auto &[target, queue] : m_queues) {
+        if (queue.waiting() != 0)
+            targets.push_back(target);
+    }
+    std::sort(targets.begin(), targets.end());
+    for (const std::string &target : targets)
+        startQueued(target);
+}
+
+void RequestRouter::endLate(Request &request)
+{
+    if (request.phase == Phase::Queued)
+        m_queues.at(request.target).remove(request.head.id, request.head.caller, request.workClass);
+    // What kept the request waiting says more than the passing of time, where it is known.
+    const bool hasCause = !request.lastError.detail.empty();
+    endUncertain(request,
+                 hasCause ? request.lastError
+                          : Error{ErrorCode::DeadlineExceeded, "queue", request.target, "no slot in time"});
+}
+
+void RequestRouter::onEvent(const WorkspaceChanged &event)
+{
+    for (auto &[id, service] : m_services) {
+        if (id.workspace == event.name)
+            service.spec.reset();
+    }
+    if (!event.spec) {
+        m_workspaces.erase(event.name);
+        return;
+    }
+    m_workspaces[event.name] = event.spec->state;
+    for (const ServiceSpec &spec : event.spec->services) {
+        Service &service = m_services[{event.name, spec.name}];
+        service.spec = spec;
+        service.shuttingDown = event.spec->state == WorkspaceState::Shutdown;
+    }
+    m_drained[event.name] = {event.spec->drainedTargets.begin(), event.spec->drainedTargets.end()};
+    for (auto &[id, service] : m_services) {
+        updateTargets(id, service);
+        for (const Instance &target : service.targets) {
+            if (service.spec)
+                queueOf(target.id, *service.spec)
+                    .setSlots(service.spec->slotsPerTarget, service.spec->longSlotsPerTarget);
+        }
+    }
+}
+
+void RequestRouter::onEvent(const OwnersChanged &event)
+{
+    Service &service = m_services[event.service];
+    service.assignment = event.assignment;
+    wakeWaiting(event.service);
+}
+
+/// Requests that wait for an owner look again at once.
+void RequestRouter::wakeWaiting(const ServiceId &service)
+{
+    std::vector<RequestId> waiting;
+    for (auto &[id, request] : m_requests) {
+        if (request.phase == Phase::Waiting && request.head.service == service)
+            waiting.push_back(id);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const RequestId id : waiting) {
+        if (const auto found = m_requests.find(id); found != m_requests.end())
+            route(found->second);
+    }
+}
+
+void RequestRouter::onEvent(const TargetsChanged &event)
+{
+    m_view = event.view;
+    for (auto &[id, service] : m_services)
+        updateTargets(id, service);
+}
+
+void RequestRouter::updateTargets(const ServiceId &id, Service &service)
+{
+    service.targets = targetsOf(m_view, id);
+    const auto drained = m_drained.find(id.workspace);
+    for (Instance &target : service.targets)
+        target.leaving = target.leaving || (drained != m_drained.end() && drained->second.contains(target.id));
+}
+
+void RequestRouter::retryLater(Request &request, Duration wait)
+{
+    request.phase = Phase::Waiting;
+    request.retryAt = m_now + wait;
+    if (request.retryAt >= request.deadline)
+        request.retryAt = request.deadline;
+}
+
+bool RequestRouter::spendRetry(Service &service) noexcept
+{
+    if (service.retryTokens < 1)
+        return false;
+    service.retryTokens -= 1;
+    return true;
+}
+
+/// Ends a request without an answer: as not run only when no attempt may have run.
+void RequestRouter::endUncertain(Request &request, const Error &error)
+{
+    const RequestId id = request.head.id;
+    m_effects.push_back(Refuse{id, !request.mayHaveRun, error});
+    forget(id);
+}
+
+void RequestRouter::refuseAsNotRun(RequestId id, Error error)
+{
+    m_effects.push_back(Refuse{id, true, std::move(error)});
+}
+
+void RequestRouter::forget(RequestId id)
+{
+    m_requests.erase(id);
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/workspacespec.cpp
@@ -0,0 +1,125 @@
+#include <sardinehinge/core/workspacespec.h>
+
+#include <algorithm>
+#include <set>
+
+namespace sardinehinge::core {
+
+namespace {
+
+constexpr std::uint32_t maxShards = 1024;
+constexpr std::uint32_t maxSlots = 1000;
+constexpr std::uint32_t maxConnections = 10'000;
+constexpr std::size_t maxNameLength = 63;
+constexpr Duration minDeadline = 1ms;
+constexpr Duration maxDeadline = 600s;
+constexpr Duration minGrace = 1s;
+constexpr Duration maxGrace = 3600s;
+
+bool isName(const std::string &name) noexcept
+{
+    const auto isAllowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; };
+    return !name.empty() && name.size() <= maxNameLength && std::all_of(name.begin(), name.end(), isAllowed);
+}
+
+/// Collects faults, each under the path of the value it concerns.
+class FaultList
+{
+public:
+    void expect(bool holds, const std::string &path, const std::string &rule)
+    {
+        if (!holds)
+            m_faults.push_back(path + ": " + rule);
+    }
+
+    std::vector<std::string> take() { return std::move(m_faults); }
+
+private:
+    std::vector<std::string> m_faults;
+};
+
+void checkEndpoint(FaultList &faults, const std::string &path, const EndpointRule &rule)
+{
+    faults.expect(!rule.pathPrefix.empty() && rule.pathPrefix.front() == '/', path + ".pathPrefix",
+                  "must start with /");
+    faults.expect(rule.deadline >= minDeadline && rule.deadline <= maxDeadline, path + ".deadlineMs",
+                  "must be from 1 to 600000");
+}
+
+void checkDivision(FaultList &faults, const std::string &path, const ServiceSpec &service)
+{
+    faults.expect(service.shardCount >= 1 && service.shardCount <= maxShards, path + ".shardCount",
+                  "must be from 1 to 1024");
+    if (service.division == Division::None)
+        faults.expect(service.shardCount == 1, path + ".shardCount", "must be 1 without keys");
+    if (service.division != Division::Ranges) {
+        faults.expect(service.splits.empty(), path + ".splits", "only ranges have splits");
+        return;
+    }
+    faults.expect(service.shardCount == service.splits.size() + 1, path + ".shardCount",
+                  "must be one more than splits");
+    const bool ascending = std::adjacent_find(service.splits.begin(), service.splits.end(), std::greater_equal<>())
+        == service.splits.end();
+    faults.expect(ascending, path + ".splits", "must ascend without repetition");
+    faults.expect(service.splits.empty() || !service.splits.front().empty(), path + ".splits", "must not contain \"\"");
+}
+
+void checkService(FaultList &faults, const std::string &path, const ServiceSpec &service)
+{
+    faults.expect(isName(service.name), path + ".name", "must be 1 to 63 of a-z, 0-9 and -");
+    checkDivision(faults, path, service);
+    faults.expect(service.slotsPerTarget >= 1 && service.slotsPerTarget <= maxSlots, path + ".slotsPerTarget",
+                  "must be from 1 to 1000");
+    faults.expect(service.connectionsPerTarget >= 1 && service.connectionsPerTarget <= maxConnections,
+                  path + ".connectionsPerTarget", "must be from 1 to 10000");
+    faults.expect(service.longSlotsPerTarget <= service.slotsPerTarget, path + ".longSlotsPerTarget",
+                  "must not exceed slotsPerTarget");
+    std::set<std::string> prefixes;
+    for (std::size_t index = 0; index < service.endpoints.size(); ++index) {
+        const std::string rulePath = path + ".endpoints[" + std::to_string(index) + "]";
+        checkEndpoint(faults, rulePath, service.endpoints[index]);
+        faults.expect(prefixes.insert(service.endpoints[index].pathPrefix).second, rulePath + ".pathPrefix",
+                      "must not repeat");
+    }
+}
+
+} // namespace
+
+const ServiceSpec *findService(const WorkspaceSpec &spec, const std::string &name) noexcept
+{
+    const auto found = std::find_if(spec.services.begin(), spec.services.end(),
+                                    [&name](const ServiceSpec &service) { return service.name == name; });
+    return found == spec.services.end() ? nullptr : &*found;
+}
+
+std::vector<std::string> faultsIn(const WorkspaceSpec &spec)
+{
+    FaultList faults;
+    faults.expect(isName(spec.name), "name", "must be 1 to 63 of a-z, 0-9 and -");
+    faults.expect(spec.shutdownGrace >= minGrace && spec.shutdownGrace <= maxGrace, "shutdownGraceMs",
+                  "must be from 1000 to 3600000");
+    faults.expect(!spec.services.empty(), "services", "must name at least one service");
+    std::set<std::string> names;
+    for (std::size_t index = 0; index < spec.services.size(); ++index) {
+        const std::string path = "services[" + std::to_string(index) + "]";
+        checkService(faults, path, spec.services[index]);
+        faults.expect(names.insert(spec.services[index].name).second, path + ".name", "must not repeat");
+    }
+    return faults.take();
+}
+
+const EndpointRule &ruleFor(const ServiceSpec &service, const std::string &path) noexcept
+{
+    static const EndpointRule defaultRule{"/", false, WorkClass::Short, 1s};
+    const EndpointRule *best = &defaultRule;
+    std::size_t bestLength = 0;
+    for (const EndpointRule &rule : service.endpoints) {
+        if (path.starts_with(rule.pathPrefix) && rule.pathPrefix.size() > bestLength) {
+            best = &rule;
+            bestLength = rule.pathPrefix.size();
+        }
+    }
+    return *best;
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,67 @@
+#include <sardinehinge/daemon/daemon.h>
+#include <sardinehinge/daemon/eventlog.h>
+#include <sardinehinge/daemon/settings.h>
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <iostream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+constexpr const char *version = "sardinehinged 0.1.0";
+
+/// Blocks SIGTERM and SIGINT for all threads and returns a descriptor that reports them, or -1.
+int openSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    if (pthread_sigmask(SIG_BLOCK, &signals, nullptr) != 0)
+        return -1;
+    return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace sardinehinge;
+    std::signal(SIGPIPE, SIG_IGN);
+    auto parsed = daemon::parseSettings(argc, const_cast<const char **>(argv));
+    if (const core::Error *error = core::errorIn(parsed)) {
+        std::cerr << "sardinehinged: " << error->detail << '\n';
+        return exitBadSettings;
+    }
+    const auto &[request, settings, helpText] = std::get<daemon::ParsedSettings>(parsed);
+    if (request == daemon::Request::Help)
+        std::cout << helpText;
+    if (request == daemon::Request::Version)
+        std::cout << version << '\n';
+    if (request == daemon::Request::Check)
+        std::cout << "settings are right\n";
+    if (request != daemon::Request::Run)
+        return 0;
+
+    const int signals = openSignals();
+    QCoreApplication application(argc, argv);
+    daemon::initialiseLog(settings.logLevel, settings.id);
+    daemon::Daemon running(settings);
+    if (const auto started = running.start(); core::errorIn(started) != nullptr) {
+        const core::Error &error = *core::errorIn(started);
+        std::cerr << "sardinehinged: " << error.step << ' ' << error.peer << ": " << error.detail << '\n';
+        return 1;
+    }
+    QSocketNotifier notifier(signals, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, [&running, signals] {
+        signalfd_siginfo received{};
+        while (read(signals, &received, sizeof(received)) == sizeof(received))
+            running.drain();
+    });
+    return QCoreApplication::exec();
+}
--- /dev/null
+++ b/packages/daemon/src/peerduty.cpp
@@ -0,0 +1,120 @@
+#include "peerduty.h"
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace sardinehinge::daemon {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+constexpr std::size_t outgoingRing = 16'384;
+constexpr int socketBufferBytes = 1 << 20;
+
+std::optional<udp::endpoint> parseEndpoint(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const auto [end, fault] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (error || fault != std::errc())
+        return std::nullopt;
+    return udp::endpoint(ip, port);
+}
+
+} // namespace
+
+PeerDuty::PeerDuty(core::DaemonIdentity self, EventLog &events, Metrics &metrics,
+                   std::function<bool(IncomingMessage)> deliver)
+    : m_self(std::move(self))
+    , m_events(events)
+    , m_metrics(metrics)
+    , m_deliver(std::move(deliver))
+    , m_socket(m_worker.context())
+    , m_outgoing(outgoingRing, m_worker.waker([this] {
+        m_outgoing.drain(
+            [this](const ToPeers &message) { std::visit([this](const auto &typed) { take(typed); }, message); });
+    }))
+{
+}
+
+PeerDuty::~PeerDuty()
+{
+    m_worker.stop();
+}
+
+core::Result<core::Done> PeerDuty::start(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    boost::system::error_code error;
+    if (endpoint) {
+        m_socket.open(endpoint->protocol(), error);
+        if (!error)
+            m_socket.bind(*endpoint, error);
+    }
+    if (!endpoint || error)
+        return core::Error{core::ErrorCode::BadSetting, "listen", address, endpoint ? error.message() : "bad address"};
+    m_socket.non_blocking(true, error);
+    m_socket.set_option(udp::socket::receive_buffer_size(socketBufferBytes), error);
+    receive();
+    m_worker.start();
+    return core::Done{};
+}
+
+void PeerDuty::take(const PeerAddresses &addresses)
+{
+    m_endpoints.clear();
+    for (const auto &[id, address] : addresses.byId) {
+        if (const auto endpoint = parseEndpoint(address))
+            m_endpoints.emplace(id, *endpoint);
+    }
+}
+
+void PeerDuty::take(const OutgoingMessage &message)
+{
+    const auto endpoint = m_endpoints.find(message.to);
+    if (endpoint == m_endpoints.end())
+        return;
+    const std::string datagram = protocol::encode({m_self, message.to, m_events.stamp(), message.message});
+    boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
+    m_socket.send_to(boost::asio::buffer(datagram), endpoint->second, 0, ignored);
+    m_metrics.peerBytesOut.Increment(static_cast<double>(datagram.size()));
+}
+
+void PeerDuty::receive()
+{
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_from,
+                                [this](const boost::system::error_code &error, std::size_t bytes) {
+                                    if (error == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!error)
+                                        received(bytes);
+                                    receive();
+                                });
+}
+
+void PeerDuty::received(std::size_t bytes)
+{
+    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes));
+    auto result = protocol::decode({m_buffer.data(), bytes});
+    if (const core::Error *error = core::errorIn(result)) {
+        m_events.record(Severity::Debug, core::events::peerMessageRefused,
+                        m_from.address().to_string() + ": " + error->detail);
+        return;
+    }
+    auto &envelope = std::get<protocol::Envelope>(result);
+    // An address may have been another instance's before; what was meant for that one is not for this one.
+    if (envelope.recipient != m_self.id)
+        return;
+    m_events.observe(envelope.stamp);
+    m_deliver({std::move(envelope.sender), std::move(envelope.message)});
+}
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/peerduty.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "dutymessages.h"
+
+#include <sardinehinge/daemon/eventlog.h>
+#include <sardinehinge/daemon/metrics.h>
+#include <sardinehinge/daemon/ring.h>
+#include <sardinehinge/daemon/worker.h>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace sardinehinge::daemon {
+
+/// Exchanges datagrams with other daemons.
+///
+/// Datagrams rather than connections: a frozen peer holds nobody up, a fleet of thousands needs no connections, and
+/// every message stands alone. Full rings drop messages in both directions, which is counted and harmless.
+class PeerDuty
+{
+public:
+    PeerDuty(core::DaemonIdentity self, EventLog &events, Metrics &metrics,
+             std::function<bool(IncomingMessage)> deliver);
+    ~PeerDuty();
+
+    /// Binds the UDP socket; an error of step `listen` when that fails.
+    core::Result<core::Done> start(const std::string &address);
+    void stop() { m_worker.stop(); }
+
+    Ring<ToPeers> &outgoing() noexcept { return m_outgoing; }
+    Worker &worker() noexcept { return m_worker; }
+
+private:
+    void take(const PeerAddresses &addresses);
+    void take(const OutgoingMessage &message);
+    void receive();
+    void received(std::size_t bytes);
+
+    core::DaemonIdentity m_self;
+    EventLog &m_events;
+    Metrics &m_metrics;
+    std::function<bool(IncomingMessage)> m_deliver;
+    Worker m_worker{"peers"};
+    boost::asio::ip::udp::socket m_socket;
+    Ring<ToPeers> m_outgoing;
+    std::map<std::string, boost::asio::ip::udp::endpoint> m_endpoints;
+    std::array<char, 65'536> m_buffer{};
+    boost::asio::ip::udp::endpoint m_from;
+};
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <sardinehinge/core/types.h>
+#include <sardinehinge/http/message.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace sardinehinge::http {
+
+/// How far an exchange came before it ended.
+enum class ExchangeStep {
+    Connect, ///< Nothing was written: the request certainly didn't reach the peer.
+    Refused, ///< As Connect; the peer's host answered that no process listens there.
+    Written, ///< At least one byte of the request was written; no byte of the answer came.
+    Answering, ///< The answer began but didn't end.
+    Complete, ///< The whole answer is here.
+};
+
+/// The end of an exchange. `response` is only meaningful at step Complete.
+struct ExchangeEnd
+{
+    ExchangeStep step = ExchangeStep::Connect;
+    Response response;
+    std::string detail;
+
+    bool operator==(const ExchangeEnd &) const = default;
+};
+
+struct ClientLimits
+{
+    core::Duration connectTime = core::Duration(std::chrono::milliseconds(250));
+    std::uint32_t headerBytes = 64 * 1024;
+    std::uint64_t bodyBytes = 16 * 1024 * 1024;
+    std::size_t idleConnections = 8; ///< Kept open per peer.
+
+    bool operator==(const ClientLimits &) const = default;
+};
+
+/// Exchanges requests with peers over kept-alive connections. It never sends a request twice, and its ends tell a
+/// request that certainly wasn't sent from one that may have arrived. An answer that only the end of the connection
+/// delimits counts as incomplete, since it can't be told from a truncated one. Single-threaded: use it on its
+/// io_context only.
+class Client
+{
+public:
+    using Callback = std::function<void(ExchangeEnd)>;
+    using ExchangeId = std::uint64_t;
+
+    Client(boost::asio::io_context &context, ClientLimits limits = {});
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /// Sends `request` to `address` (IP number and port). `done` is called exactly once, within `timeout`.
+    ExchangeId send(const std::string &address, Request request, core::Duration timeout, Callback done);
+    /// Closes the exchange's connection; its callback comes with the step reached. Unknown ids are ignored.
+    void cancel(ExchangeId id);
+    /// Connections open to all peers, idle ones included.
+    std::size_t connections() const noexcept;
+
+    struct State; ///< Internal.
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace sardinehinge::http
--- /dev/null
+++ b/packages/http/src/server.cpp
@@ -0,0 +1,371 @@
+#include <sardinehinge/http/server.h>
+
+#include "addresses.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <set>
+
+namespace sardinehinge::http {
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+class Connection;
+
+} // namespace
+
+struct Server::State : std::enable_shared_from_this<Server::State>
+{
+    State(asio::io_context &ioContext, RequestHandler &requestHandler, ServerLimits serverLimits)
+        : context(ioContext)
+        , acceptor(ioContext)
+        , handler(requestHandler)
+        , limits(serverLimits)
+    {
+    }
+
+    void accept();
+    void forEachConnection(const std::function<void(Connection &)> &action);
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    RequestHandler &handler;
+    ServerLimits limits;
+    std::set<Connection *> open;
+    std::uint64_t nextExchange = 1;
+    bool draining = false;
+    bool stopped = false;
+};
+
+namespace {
+
+using StatePointer = std::shared_ptr<Server::State>;
+
+/// The body of a request without an answer's worth of copies: Beast's string body.
+using Parser = beast::http::request_parser<beast::http::string_body>;
+using Message = beast::http::response<beast::http::string_body>;
+
+/// One caller's connection: reads a request, waits for its answer, writes it, and so on.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(StatePointer state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_stream(std::move(socket))
+        , m_buffer(m_state->limits.headerBytes + 8 * 1024)
+    {
+        ErrorCode ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        const auto endpoint = m_stream.socket().remote_endpoint(ignored);
+        m_peer = ignored ? std::string("unknown") : internal::toString(endpoint);
+        m_state->open.insert(this);
+    }
+
+    ~Connection() { m_state->open.erase(this); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    /// Waits for the first byte of the next request for as long as a connection may idle.
+    void awaitRequest()
+    {
+        if (m_state->draining)
+            return close();
+        m_phase = Phase::Idle;
+        if (m_buffer.size() != 0)
+            return readRequest();
+        m_stream.expires_after(m_state->limits.idleTime);
+        m_stream.async_read_some(m_buffer.prepare(4096),
+                                 [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                     if (error)
+                                         return self->close();
+                                     self->m_buffer.commit(bytes);
+                                     self->readRequest();
+                                 });
+    }
+
+    bool isIdle() const noexcept { return m_phase == Phase::Idle; }
+
+    void close()
+    {
+        m_phase = Phase::Closed;
+        ErrorCode ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+    }
+
+    void answer(std::uint64_t exchange, Response response)
+    {
+        if (exchange != m_exchange || m_phase != Phase::Answering)
+            return;
+        write(std::move(response), m_keepAlive && !m_state->draining);
+    }
+
+    void answerTruncated(std::uint64_t exchange, Response response, std::size_t bytes)
+    {
+        if (exchange != m_exchange || m_phase != Phase::Answering)
+            return;
+        m_phase = Phase::Writing;
+        auto text
+            = std::make_shared<std::string>("HTTP/1.1 " + std::to_string(response.status) + " OK\r\nContent-Length: "
+                                            + std::to_string(response.body.size()) + "\r\n");
+        for (const auto &[name, value] : response.headers)
+            *text += name + ": " + value + "\r\n";
+        *text += "\r\n" + response.body.substr(0, bytes);
+        asio::async_write(m_stream, asio::buffer(*text),
+                          [self = shared_from_this(), text](ErrorCode, std::size_t) { self->close(); });
+    }
+
+    void abort(std::uint64_t exchange)
+    {
+        if (exchange == m_exchange && m_phase == Phase::Answering)
+            close();
+    }
+
+private:
+    enum class Phase { Idle, Reading, Answering, Writing, Closed };
+
+    void readRequest()
+    {
+        m_phase = Phase::Reading;
+        m_parser.emplace();
+        m_parser->header_limit(m_state->limits.headerBytes);
+        m_parser->body_limit(m_state->limits.bodyBytes);
+        m_stream.expires_after(m_state->limits.readTime);
+        beast::http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](ErrorCode error, std::size_t) { self->requestRead(error); });
+    }
+
+    void requestRead(ErrorCode error)
+    {
+        if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted
+            || error == beast::http::error::partial_message || error == asio::error::connection_reset)
+            return close();
+        if (error)
+            return reject(statusOf(error), error.message());
+        if (const std::string fault = framingFault(); !fault.empty())
+            return reject(400, fault);
+        m_phase = Phase::Answering;
+        m_exchange = m_state->nextExchange++;
+        m_keepAlive = m_parser->get().keep_alive();
+        m_stream.expires_never();
+        auto responder = std::make_shared<ConnectionResponder>(weak_from_this(), m_exchange);
+        watchCaller(m_exchange);
+        m_state->handler.handle(m_exchange, takeRequest(), std::move(responder));
+    }
+
+    /// What Beast's parser lets through but would allow two readings of where a request ends.
+    std::string framingFault() const
+    {
+        const auto &message = m_parser->get();
+        const bool hasCoding = message.find(beast::http::field::transfer_encoding) != message.end();
+        if (hasCoding && !beast::iequals(message[beast::http::field::transfer_encoding], "chunked"))
+            return "only the transfer coding chunked is accepted";
+        if (hasCoding && message.find(beast::http::field::content_length) != message.end())
+            return "both a length and a transfer coding";
+        if (message.version() != 11 && message.version() != 10)
+            return "only HTTP/1.0 and HTTP/1.1 are accepted";
+        if (hasCoding && message.version() == 10)
+            return "HTTP/1.0 has no transfer codings";
+        return {};
+    }
+
+    static int statusOf(ErrorCode error)
+    {
+        if (error == beast::http::error::header_limit)
+            return 431;
+        if (error == beast::http::error::body_limit)
+            return 413;
+        if (error == beast::error::timeout)
+            return 408;
+        return 400;
+    }
+
+    void reject(int status, const std::string &detail)
+    {
+        m_phase = Phase::Answering;
+        write(m_state->handler.rejection(status, detail, m_peer), false);
+    }
+
+    Request takeRequest()
+    {
+        auto message = m_parser->release();
+        Request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        request.body = std::move(message.body());
+        request.peer = m_peer;
+        return request;
+    }
+
+    /// Notices a caller that leaves while its request is under way. Bytes of a next request end the watch: they stay
+    /// in the socket until the answer is written.
+    void watchCaller(std::uint64_t exchange)
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange](ErrorCode error) {
+            if (error || exchange != self->m_exchange || self->m_phase != Phase::Answering)
+                return;
+            char byte = 0;
+            ErrorCode peekError;
+            self->m_stream.socket().non_blocking(true, peekError);
+            self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+            if (!peekError || peekError == asio::error::would_block)
+                return;
+            self->close();
+            self->m_state->handler.callerLeft(exchange);
+        });
+    }
+
+    void write(Response response, bool keepAlive)
+    {
+        m_phase = Phase::Writing;
+        auto message = std::make_shared<Message>();
+        message->result(static_cast<unsigned>(response.status));
+        for (const auto &[name, value] : response.headers)
+            message->insert(name, value);
+        message->body() = std::move(response.body);
+        message->keep_alive(keepAlive);
+        message->prepare_payload();
+        m_stream.expires_after(m_state->limits.writeTime);
+        beast::http::async_write(m_stream, *message,
+                                 [self = shared_from_this(), message, keepAlive](ErrorCode error, std::size_t) {
+                                     if (error || !keepAlive)
+                                         return self->close();
+                                     self->awaitRequest();
+                                 });
+    }
+
+    /// Refers to the connection weakly, so that a caller that left costs nothing more.
+    class ConnectionResponder : public Responder
+    {
+    public:
+        ConnectionResponder(std::weak_ptr<Connection> connection, std::uint64_t exchange)
+            : m_connection(std::move(connection))
+            , m_exchange(exchange)
+        {
+        }
+
+        void send(Response response) override
+        {
+            if (const auto connection = m_connection.lock())
+                connection->answer(m_exchange, std::move(response));
+        }
+
+        void abort() override
+        {
+            if (const auto connection = m_connection.lock())
+                connection->abort(m_exchange);
+        }
+
+        void sendTruncated(Response response, std::size_t bytes) override
+        {
+            if (const auto connection = m_connection.lock())
+                connection->answerTruncated(m_exchange, std::move(response), bytes);
+        }
+
+    private:
+        std::weak_ptr<Connection> m_connection;
+        std::uint64_t m_exchange;
+    };
+
+    StatePointer m_state;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::string m_peer;
+    Phase m_phase = Phase::Idle;
+    std::uint64_t m_exchange = 0;
+    bool m_keepAlive = true;
+};
+
+} // namespace
+
+void Server::State::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
+        if (self->draining || self->stopped || error == asio::error::operation_aborted)
+            return;
+        if (!error && self->open.size() < self->limits.connections)
+            std::make_shared<Connection>(self, std::move(socket))->awaitRequest();
+        self->accept();
+    });
+}
+
+void Server::State::forEachConnection(const std::function<void(Connection &)> &action)
+{
+    std::vector<std::shared_ptr<Connection>> all;
+    for (Connection *connection : open)
+        all.push_back(connection->shared_from_this());
+    for (const auto &connection : all)
+        action(*connection);
+}
+
+Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits)
+    : m_state(std::make_shared<State>(context, handler, limits))
+{
+}
+
+Server::~Server()
+{
+    m_state->stopped = true;
+    ErrorCode ignored;
+    m_state->acceptor.close(ignored);
+}
+
+core::Result<core::Done> Server::listen(const std::string &address)
+{
+    const auto failed = [&address](const std::string &detail) {
+        return core::Error{core::ErrorCode::BadSetting, "listen", address, detail};
+    };
+    const auto endpoint = internal::parseAddress(address);
+    if (!endpoint)
+        return failed("must be an IP number and a port");
+    ErrorCode error;
+    auto &acceptor = m_state->acceptor;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failed(error.message());
+    m_state->accept();
+    return core::Done{};
+}
+
+std::uint16_t Server::port() const
+{
+    ErrorCode ignored;
+    return m_state->acceptor.local_endpoint(ignored).port();
+}
+
+void Server::drain()
+{
+    m_state->draining = true;
+    ErrorCode ignored;
+    m_state->acceptor.close(ignored);
+    m_state->forEachConnection([](Connection &connection) {
+        if (connection.isIdle())
+            connection.close();
+    });
+}
+
+std::size_t Server::connections() const noexcept
+{
+    return m_state->open.size();
+}
+
+} // namespace sardinehinge::http
--- /dev/null
+++ b/packages/platform/include/sardinehinge/platform/targetcontrol.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <sardinehinge/core/messages.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace sardinehinge::platform {
+
+/// What came of an order: the target's report, or none. `refused`: its host said that no process listens.
+struct OrderEnd
+{
+    std::optional<core::TargetReport> report;
+    bool refused = false;
+
+    bool operator==(const OrderEnd &) const = default;
+};
+
+/// Gives targets orders of ownership.
+class TargetControl
+{
+public:
+    using Callback = std::function<void(OrderEnd)>;
+
+    virtual ~TargetControl() = default;
+
+    /// Sends one order, never twice. The callback comes exactly once, within `timeout`.
+    virtual void send(const std::string &address, const core::TargetOrder &order, core::Duration timeout, Callback done)
+        = 0;
+};
+
+} // namespace sardinehinge::platform
--- /dev/null
+++ b/packages/platform/src/httpobjectstore.cpp
@@ -0,0 +1,114 @@
+#include <sardinehinge/platform/httpadapters.h>
+
+#include "replies.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrlQuery>
+
+namespace sardinehinge::platform {
+
+using internal::platformError;
+using internal::PlatformReply;
+using internal::platformRequest;
+using internal::whenFinished;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 412;
+
+QUrl urlFor(const QUrl &base, const std::string &path, const QUrlQuery &query)
+{
+    QUrl url = base;
+    url.setPath(QString::fromStdString(path));
+    url.setQuery(query);
+    return url;
+}
+
+StoredObject readObject(const QJsonObject &object)
+{
+    return {object.value("name").toString().toStdString(),
+            static_cast<std::uint64_t>(object.value("revision").toInteger()),
+            object.value("bytes").toString().toStdString()};
+}
+
+std::vector<StoredObject> readObjects(const QJsonArray &array)
+{
+    std::vector<StoredObject> objects;
+    for (const QJsonValue &value : array)
+        objects.push_back(readObject(value.toObject()));
+    return objects;
+}
+
+} // namespace
+
+HttpObjectStore::HttpObjectStore(QUrl base)
+    : m_base(std::move(base))
+{
+    // Waiting watches hold a connection each; Qt opens six per host, which this store never needs at once.
+    m_network.setAutoDeleteReplies(false);
+}
+
+void HttpObjectStore::read(const std::string &name, Callback<core::Result<StoredObject>> done)
+{
+    const QUrl url = urlFor(m_base, "/objects/" + name, {});
+    QNetworkReply *reply = m_network.get(platformRequest(url, platformTimeout));
+    whenFinished(reply, [base = m_base, name, done = std::move(done)](const PlatformReply &finished) {
+        if (finished.status == statusNotFound)
+            return done(StoredObject{name, 0, {}});
+        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        if (finished.status != statusOk || !document.isObject())
+            return done(platformError("store read", base, finished));
+        done(readObject(document.object()));
+    });
+}
+
+void HttpObjectStore::write(const std::string &name, const std::string &bytes, std::uint64_t expectedRevision,
+                            Callback<WriteReply> done)
+{
+    QUrlQuery query;
+    query.addQueryItem("expect", QString::number(expectedRevision));
+    const QUrl url = urlFor(m_base, "/objects/" + name, query);
+    QNetworkReply *reply = m_network.put(platformRequest(url, platformTimeout), QByteArray::fromStdString(bytes));
+    whenFinished(reply, [done = std::move(done)](const PlatformReply &finished) {
+        if (finished.status == statusConflict)
+            return done({WriteAnswer::Conflict, 0});
+        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        if (finished.status != statusOk || !document.isObject())
+            return done({WriteAnswer::Lost, 0});
+        done({WriteAnswer::Applied, static_cast<std::uint64_t>(document.object().value("revision").toInteger())});
+    });
+}
+
+void HttpObjectStore::watch(std::uint64_t afterRevision, core::Duration wait, Callback<core::Result<WatchReply>> done)
+{
+    QUrlQuery query;
+    query.addQueryItem("after", QString::number(afterRevision));
+    query.addQueryItem("waitMs", QString::number(wait / std::chrono::milliseconds(1)));
+    QNetworkReply *reply = m_network.get(platformRequest(urlFor(m_base, "/watch", query), platformTimeout + wait));
+    whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
+        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        if (finished.status != statusOk || !document.isObject())
+            return done(platformError("store watch", base, finished));
+        const QJsonObject root = document.object();
+        done(WatchReply{static_cast<std::uint64_t>(root.value("upTo").toInteger()),
+                        readObjects(root.value("objects").toArray())});
+    });
+}
+
+void HttpObjectStore::versions(const std::string &name, Callback<core::Result<std::vector<StoredObject>>> done)
+{
+    const QUrl url = urlFor(m_base, "/versions/" + name, {});
+    QNetworkReply *reply = m_network.get(platformRequest(url, platformTimeout));
+    whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
+        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        if (finished.status != statusOk || !document.isObject())
+            return done(platformError("store versions", base, finished));
+        done(readObjects(document.object().value("objects").toArray()));
+    });
+}
+
+} // namespace sardinehinge::platform
--- /dev/null
+++ b/tests/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
