Share a target's slots by permits from one daemon, and refuse early at a crest

Cause: with limits learnt locally, eleven daemons that each hold at least one slot exceed six together, and long work of all daemons fills a target. Ruled out: one daemon as the meeting point of a target's requests (a hop and double work also when slots are plenty). Change: SlotAllocator grants permits in turn over the daemons while slots are scarce and says when they are plenty; counts are cumulative, so loss heals; learnt limits stay as the way out when the allocator is silent. Queues notice a crest by the waits (CoDel's signal) and refuse new short work then; work that can't end in time isn't started. Known: process_graceful_stop failed once in this state: a request was of unknown outcome during a workspace's shutdown. The cause of the shutdown's fault is looked for next.

--- a/packages/client/src/commands.cpp
+++ b/packages/client/src/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "output.h"
 
+#include <QElapsedTimer>
 #include <QFile>
 #include <QJsonArray>
 
@@ -21,6 +22,8 @@
 /// Waits until `revision` of a workspace is in force on every daemon of the instance list.
 int awaitInForce(Connection &connection, const Arguments &arguments, const QString &workspace, qint64 revision)
 {
+    QElapsedTimer elapsed;
+    elapsed.start();
     const QString operation = newOperationId();
     const auto asked = connection.post(
         "/commands/check-in-force",
@@ -34,7 +37,7 @@
     const QJsonObject &state = std::get<Answer>(result).body;
     const auto inForce = state.value("inForce").toArray().size();
     if (state.value("finished").toBool()) {
-        std::cout << "in force on " << inForce << " daemons\n";
+        std::cout << "in force on " << inForce << " daemons, known after " << elapsed.elapsed() << " ms\n";
         return exitDone;
     }
     std::string lagging;
--- a/packages/core/include/sardinehinge/core/messages.h
+++ b/packages/core/include/sardinehinge/core/messages.h
@@ -118,9 +118,41 @@
     bool operator==(const RevisionReply &) const = default;
 };
 
+/// Counts by class of work, short work first. They only rise during a daemon's life, so that messages can be lost,
+/// doubled and reordered without harm.
+struct ClassCounts
+{
+    std::uint64_t shortWork = 0;
+    std::uint64_t longWork = 0;
+
+    bool operator==(const ClassCounts &) const = default;
+};
+
+/// What a daemon needs of a target's slots, to the daemon that shares them out.
+struct SlotDemand
+{
+    std::string target;
+    std::uint32_t slots = 0; ///< Of the target, for all daemons together.
+    std::uint32_t longSlots = 0;
+    ClassCounts wanted; ///< Permits asked for so far.
+    ClassCounts granted; ///< Permits got so far, those it took by itself included.
+    ClassCounts finished; ///< Permits used up so far.
+
+    bool operator==(const SlotDemand &) const = default;
+};
+
+struct SlotGrant
+{
+    std::string target;
+    ClassCounts granted; ///< Permits that the receiver got so far.
+    bool isCalm = false; ///< Slots are plenty: a few requests may start without asking.
+
+    bool operator==(const SlotGrant &) const = default;
+};
+
 /// Everything that one daemon says to another. Each message stands alone: loss, doubling and reordering are harmless.
 using PeerMessage = std::variant<PromiseRequest, PromiseReply, Heartbeat, HeartbeatAck, Piece, Fetch, Digest,
-                                 DigestList, RevisionQuery, RevisionReply>;
+                                 DigestList, RevisionQuery, RevisionReply, SlotDemand, SlotGrant>;
 
 /// A shard and the epoch under which it is held.
 struct ShardEpoch
--- a/packages/core/include/sardinehinge/core/requestrouter.h
+++ b/packages/core/include/sardinehinge/core/requestrouter.h
@@ -92,8 +92,14 @@
     InstanceView view;
 };
 
+/// A target's allocator answered.
+struct SlotsGranted
+{
+    SlotGrant grant;
+};
+
 using RouterEvent = std::variant<RequestArrived, AttemptFinished, CallerLeft, RouterTick, WorkspaceChanged,
-                                 OwnersChanged, TargetsChanged>;
+                                 OwnersChanged, TargetsChanged, SlotsGranted>;
 
 // Effects.
 
@@ -131,7 +137,14 @@
     Error error;
 };
 
-using RouterEffect = std::variant<StartAttempt, CancelAttempt, PassAnswer, Refuse>;
+/// Tells a target's allocator what this daemon needs. May be lost.
+struct AskForSlots
+{
+    std::string to;
+    SlotDemand demand;
+};
+
+using RouterEffect = std::variant<StartAttempt, CancelAttempt, PassAnswer, Refuse, AskForSlots>;
 
 /// Limits of the router that don't belong to a workspace.
 struct RouterLimits
@@ -140,9 +153,8 @@
     double retryShare = 0.1; ///< Retries that each arriving request pays in.
     double retryBurst = 20; ///< Most retries saved up per service.
     Duration ownerPoll = 4ms; ///< Wait before a request refused by a target that isn't the owner yet is sent again.
-    Duration shedPause = 2ms; ///< First pause of a target that shed a request; doubles up to shedPauseMax.
-    Duration shedPauseMax = 32ms;
     Duration connectRetry = 15ms; ///< Wait before a request that couldn't be sent is sent again.
+    QueueTiming queue;
     Duration longThreshold = 100ms; ///< Endpoints seen to take longer than this are treated as long work.
 
     bool operator==(const RouterLimits &) const = default;
@@ -209,13 +221,14 @@
     void onEvent(const WorkspaceChanged &event);
     void onEvent(const OwnersChanged &event);
     void onEvent(const TargetsChanged &event);
+    void onEvent(const SlotsGranted &event);
 
     std::optional<Error> faultIn(const RequestHead &head) const;
     Request makeRequest(const RequestHead &head, Service &service);
     void route(Request &request);
     static const Instance *findTarget(const Service &service, const std::string &id) noexcept;
     void updateTargets(const ServiceId &id, Service &service);
-    void wakeWaiting(const ServiceId &service);
+    void rerouteAll(const ServiceId &service);
     void leaveLostOwners(const ServiceId &id);
     void release(const std::string &target, WorkClass workClass, bool wasShed);
     void finishAnswered(Request &request);
@@ -231,6 +244,9 @@
     void refuseAsNotRun(RequestId id, Error error);
     void forget(RequestId id);
     void learn(Service &service, const Request &request, Duration taken);
+    void askForSlots(TargetQueue &queue, const std::string &target);
+    std::string allocatorOf(const std::string &target, const TargetQueue &queue);
+    void endTooLate(Request &request);
     TargetQueue &queueOf(const std::string &target, const ServiceSpec &spec);
     Service *serviceOf(const ServiceId &id);
 
@@ -244,6 +260,10 @@
     InstanceView m_view;
     std::unordered_map<RequestId, Request> m_requests;
     std::unordered_map<std::string, TargetQueue> m_queues;
+    std::set<std::string> m_touched; ///< Targets whose queues the present event changed.
+    /// Targets whose first allocator was silent: which one is asked instead, and until when.
+    std::map<std::string, std::pair<std::size_t, Time>> m_standIns;
+    std::vector<std::string> m_daemons;
     /// Attempts that were given up while under way: where, and as what, they still take a slot.
     std::map<std::pair<RequestId, std::uint32_t>, std::pair<std::string, WorkClass>> m_givenUp;
 };
--- a/packages/core/src/requestrouter.cpp
+++ b/packages/core/src/requestrouter.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t standIns = 3; ///< Daemons that may share out a target's slots, one after another.
+constexpr Duration standInTime = 5s;
 constexpr int durationSmoothing = 16; ///< Weight of the past against one new measurement.
 
 const char *describe(AttemptEnd end) noexcept
@@ -68,6 +70,8 @@
     m_now = std::max(m_now, now);
     m_effects.clear();
     std::visit([this](const auto &typed) { onEvent(typed); }, event);
+    for (const std::string &target : std::exchange(m_touched, {}))
+        askForSlots(m_queues.at(target), target);
     return std::exchange(m_effects, {});
 }
 
@@ -139,7 +143,8 @@
 
 TargetQueue &RequestRouter::queueOf(const std::string &target, const ServiceSpec &spec)
 {
-    return m_queues.try_emplace(target, spec.slotsPerTarget, spec.longSlotsPerTarget).first->second;
+    return m_queues.try_emplace(target, target, spec.slotsPerTarget, spec.longSlotsPerTarget, m_limits.queue)
+        .first->second;
 }
 
 /// The target that a request should go to now, or nullptr when none is known.
@@ -187,13 +192,15 @@
 void RequestRouter::enqueue(Request &request, const std::string &target)
 {
     TargetQueue &queue = queueOf(target, *m_services[request.head.service].spec);
-    const bool isTooLate = m_now + queue.expectedWait() >= request.deadline;
-    if (queue.waiting() >= m_limits.queuePerTarget || isTooLate)
-        return endUncertain(request,
-                            {ErrorCode::Overloaded, "queue", target, "the queue exceeds the request's deadline"});
+    const bool isTooLate = m_now + queue.expectedWait() + queue.meanDuration() >= request.deadline;
+    // A short burst may queue up; when the wait stays long, more requests would only make all of them wait.
+    const bool isCrest = request.workClass == WorkClass::Short && queue.isAtCrest(m_now);
+    if (queue.waiting() >= m_limits.queuePerTarget || isTooLate || isCrest)
+        return endUncertain(request, {ErrorCode::Overloaded, "queue", target, "too much work waits for the target"});
     request.phase = Phase::Queued;
     request.target = target;
-    queue.push(request.head.id, request.head.caller, request.workClass);
+    queue.push(request.head.id, request.head.caller, request.workClass, m_now);
+    m_touched.insert(target);
     startQueued(target);
 }
 
@@ -203,7 +210,14 @@
     if (found == m_queues.end())
         return;
     while (const auto id = found->second.takeNext(m_now)) {
+        m_touched.insert(target);
         Request &request = m_requests.at(*id);
+        // What can't be done in time isn't started: it would take a slot, and its outcome would be unknown.
+        if (m_now + found->second.meanDuration() / 2 >= request.deadline) {
+            found->second.finished(request.workClass, false, m_now);
+            endTooLate(request);
+            continue;
+        }
         Service *service = serviceOf(request.head.service);
         std::uint64_t epoch = 0;
         const Instance *chosen = service == nullptr ? nullptr : findTarget(*service, target);
@@ -218,7 +232,7 @@
             continue;
         }
         // The owner changed while the request waited.
-        found->second.finished(request.workClass, false, m_now, m_limits.shedPause, m_limits.shedPauseMax);
+        found->second.finished(request.workClass, false, m_now);
         retryLater(request, 0ms);
     }
 }
@@ -295,7 +309,8 @@
         return endUncertain(request, request.lastError);
     if (isFull && request.isKeyed) {
         request.phase = Phase::Queued;
-        m_queues.at(request.target).pushFront(request.head.id, request.head.caller, request.workClass);
+        m_queues.at(request.target).pushFront(request.head.id, request.head.caller, request.workClass, m_now);
+        m_touched.insert(request.target);
         return;
     }
     retryLater(request, isHandover ? m_limits.ownerPoll : m_limits.connectRetry);
@@ -316,8 +331,10 @@
         return;
     Request &request = found->second;
     if (request.phase != Phase::InFlight) {
-        if (request.phase == Phase::Queued)
+        if (request.phase == Phase::Queued) {
             m_queues.at(request.target).remove(event.id, request.head.caller, request.workClass);
+            m_touched.insert(request.target);
+        }
         return forget(event.id);
     }
     request.callerLeft = true;
@@ -353,12 +370,57 @@
     std::sort(targets.begin(), targets.end());
     for (const std::string &target : targets)
         startQueued(target);
+    for (auto &[target, queue] : m_queues) {
+        if (queue.hasNews())
+            m_touched.insert(target);
+    }
+}
+
+void RequestRouter::onEvent(const SlotsGranted &event)
+{
+    const auto found = m_queues.find(event.grant.target);
+    if (found == m_queues.end())
+        return;
+    found->second.take(event.grant, m_now);
+    startQueued(event.grant.target);
+}
+
+void RequestRouter::askForSlots(TargetQueue &queue, const std::string &target)
+{
+    if (auto demand = queue.demandDue(m_now))
+        m_effects.push_back(AskForSlots{allocatorOf(target, queue), std::move(*demand)});
+}
+
+/// The daemon that shares out a target's slots: the first by rank, or another one for a while after a silence.
+std::string RequestRouter::allocatorOf(const std::string &target, const TargetQueue &queue)
+{
+    if (m_daemons.empty())
+        return {};
+    auto &[index, until] = m_standIns[target];
+    if (m_now >= until)
+        index = 0;
+    if (queue.isAllocatorSilent(m_now) && m_now + standInTime - until > m_limits.queue.allocatorSilence) {
+        index = (index + 1) % std::min(standIns, m_daemons.size());
+        until = m_now + standInTime;
+    }
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const std::string &daemon : m_daemons)
+        ranked.emplace_back(rendezvousRank(target, daemon), daemon);
+    std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(index), ranked.end());
+    return ranked[index].second;
 }
 
 void RequestRouter::endLate(Request &request)
 {
-    if (request.phase == Phase::Queued)
+    if (request.phase == Phase::Queued) {
         m_queues.at(request.target).remove(request.head.id, request.head.caller, request.workClass);
+        m_touched.insert(request.target);
+    }
+    endTooLate(request);
+}
+
+void RequestRouter::endTooLate(Request &request)
+{
     // What kept the request waiting says more than the passing of time, where it is known.
     const bool hasCause = !request.lastError.detail.empty();
     endUncertain(request,
@@ -398,13 +460,16 @@
     Service &service = m_services[event.service];
     service.assignment = event.assignment;
     leaveLostOwners(event.service);
-    wakeWaiting(event.service);
+    rerouteAll(event.service);
 }
 
 void RequestRouter::release(const std::string &target, WorkClass workClass, bool wasShed)
 {
-    if (const auto queue = m_queues.find(target); queue != m_queues.end())
-        queue->second.finished(workClass, wasShed, m_now, m_limits.shedPause, m_limits.shedPauseMax);
+    const auto queue = m_queues.find(target);
+    if (queue == m_queues.end())
+        return;
+    queue->second.finished(workClass, wasShed, m_now);
+    m_touched.insert(target);
 }
 
 /// Idempotent requests under way at an owner that was lost are given up there and wait for the next one. Others stay:
@@ -426,24 +491,40 @@
     }
 }
 
-/// Requests that wait for an owner look again at once.
-void RequestRouter::wakeWaiting(const ServiceId &service)
+/// Requests that wait for an owner, or in the queue of a target that isn't the owner any more, look again at once.
+void RequestRouter::rerouteAll(const ServiceId &service)
 {
-    std::vector<RequestId> waiting;
+    const Assignment &assignment = m_services[service].assignment;
+    std::vector<RequestId> affected;
     for (auto &[id, request] : m_requests) {
-        if (request.phase == Phase::Waiting && request.head.service == service)
-            waiting.push_back(id);
+        if (request.head.service != service || request.phase == Phase::InFlight)
+            continue;
+        const bool isMoved = request.isKeyed && request.shard < assignment.shards.size()
+            && assignment.shards[request.shard].target != request.target;
+        if (request.phase == Phase::Waiting || isMoved)
+            affected.push_back(id);
     }
-    std::sort(waiting.begin(), waiting.end());
-    for (const RequestId id : waiting) {
-        if (const auto found = m_requests.find(id); found != m_requests.end())
-            route(found->second);
+    std::sort(affected.begin(), affected.end());
+    for (const RequestId id : affected) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue;
+        Request &request = found->second;
+        if (request.phase == Phase::Queued) {
+            m_queues.at(request.target).remove(id, request.head.caller, request.workClass);
+            m_touched.insert(request.target);
+            request.phase = Phase::Waiting;
+        }
+        route(request);
     }
 }
 
 void RequestRouter::onEvent(const TargetsChanged &event)
 {
     m_view = event.view;
+    m_daemons.clear();
+    for (const Instance &daemon : liveDaemons(m_view))
+        m_daemons.push_back(daemon.id);
     for (auto &[id, service] : m_services)
         updateTargets(id, service);
 }
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -41,17 +41,20 @@
     explicit Duties(Settings given)
         : settings(std::move(given))
         , self{settings.id, newIncarnation()}
-        , peers(self, events, metrics,
-                [this](IncomingMessage message) { return control.fromPeers().push(std::move(message)); })
+        , peers(
+              self, events, metrics,
+              [this](IncomingMessage message) { return control.fromPeers().push(std::move(message)); },
+              [this](IncomingSlotMessage message) { return routing.slotMessages().push(std::move(message)); })
         , orders(metrics, core::LeaseTiming{}.orderTimeout,
                  [this](OrderOutcome outcome) { return control.fromOrders().push(std::move(outcome)); })
         , platform(QUrl(QString::fromStdString(settings.platformUrl)), seed(), events, metrics,
                    [this](FromPlatform message) { return control.fromPlatform().push(std::move(message)); })
         , callers(settings, [this](ToRouting message) { return routing.requests().push(std::move(message)); })
         , routing(
-              settings.id, seed(), events, metrics,
+              self, seed(), events, metrics,
               [this](CallerAnswer answer) { return callers.answers().push(std::move(answer)); },
-              [this](RoutingToControl message) { return control.fromRouting().push(std::move(message)); })
+              [this](RoutingToControl message) { return control.fromRouting().push(std::move(message)); },
+              [this](OutgoingSlotMessage message) { return peers.outgoingSlots().push(std::move(message)); })
         , control(self, seed(), events, makeOutlets())
         , operators(control, events, metrics,
                     [this](ToControl message) { return control.fromOperators().push(std::move(message)); })
--- a/packages/daemon/src/dutymessages.h
+++ b/packages/daemon/src/dutymessages.h
@@ -81,6 +81,21 @@
     core::PeerMessage message;
 };
 
+/// Messages about slots go between routing duties; the control duty has no part in them.
+using SlotMessage = std::variant<core::SlotDemand, core::SlotGrant>;
+
+struct OutgoingSlotMessage
+{
+    std::string to;
+    SlotMessage message;
+};
+
+struct IncomingSlotMessage
+{
+    core::DaemonIdentity from;
+    SlotMessage message;
+};
+
 using ToPeers = std::variant<PeerAddresses, OutgoingMessage>;
 
 // Peer duty to control duty.
--- a/packages/daemon/src/orderduty.cpp
+++ b/packages/daemon/src/orderduty.cpp
@@ -5,8 +5,6 @@
 namespace {
 
 constexpr std::size_t orderRing = 8192;
-/// Typical size of an order and its report with their headers, for the metric of control traffic.
-constexpr double orderBytesEstimate = 640;
 
 } // namespace
 
@@ -35,9 +33,9 @@
         m_report({outgoing.service, order.target, order.order.sequence, std::nullopt, false});
         return;
     }
-    m_metrics.orderBytes.Increment(orderBytesEstimate);
     const auto done = [this, service = outgoing.service, target = order.target,
                        sequence = order.order.sequence](const platform::OrderEnd &end) {
+        m_metrics.orderBytes.Increment(static_cast<double>(end.bytes));
         m_report({service, target, sequence, end.report, end.refused});
     };
     m_control.send(order.address, order.order, m_orderTimeout, done);
--- a/packages/daemon/src/peerduty.cpp
+++ b/packages/daemon/src/peerduty.cpp
@@ -32,16 +32,22 @@
 } // namespace
 
 PeerDuty::PeerDuty(core::DaemonIdentity self, EventLog &events, Metrics &metrics,
-                   std::function<bool(IncomingMessage)> deliver)
+                   std::function<bool(IncomingMessage)> deliver, std::function<bool(IncomingSlotMessage)> deliverSlots)
     : m_self(std::move(self))
     , m_events(events)
     , m_metrics(metrics)
     , m_deliver(std::move(deliver))
+    , m_deliverSlots(std::move(deliverSlots))
     , m_socket(m_worker.context())
     , m_outgoing(outgoingRing, m_worker.waker([this] {
         m_outgoing.drain(
             [this](const ToPeers &message) { std::visit([this](const auto &typed) { take(typed); }, message); });
     }))
+    , m_outgoingSlots(outgoingRing, m_worker.waker([this] {
+        m_outgoingSlots.drain([this](const OutgoingSlotMessage &outgoing) {
+            std::visit([&](const auto &typed) { send(outgoing.to, typed); }, outgoing.message);
+        });
+    }))
 {
 }
 
@@ -79,10 +85,15 @@
 
 void PeerDuty::take(const OutgoingMessage &message)
 {
-    const auto endpoint = m_endpoints.find(message.to);
+    send(message.to, message.message);
+}
+
+void PeerDuty::send(const std::string &to, const core::PeerMessage &message)
+{
+    const auto endpoint = m_endpoints.find(to);
     if (endpoint == m_endpoints.end())
         return;
-    const std::string datagram = protocol::encode({m_self, message.to, m_events.stamp(), message.message});
+    const std::string datagram = protocol::encode({m_self, to, m_events.stamp(), message});
     boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
     m_socket.send_to(boost::asio::buffer(datagram), endpoint->second, 0, ignored);
     m_metrics.peerBytesOut.Increment(static_cast<double>(datagram.size()));
@@ -114,7 +125,12 @@
     if (envelope.recipient != m_self.id)
         return;
     m_events.observe(envelope.stamp);
-    m_deliver({std::move(envelope.sender), std::move(envelope.message)});
+    if (const auto *demand = std::get_if<core::SlotDemand>(&envelope.message))
+        m_deliverSlots({envelope.sender, *demand});
+    else if (const auto *grant = std::get_if<core::SlotGrant>(&envelope.message))
+        m_deliverSlots({envelope.sender, *grant});
+    else
+        m_deliver({std::move(envelope.sender), std::move(envelope.message)});
 }
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/peerduty.h
+++ b/packages/daemon/src/peerduty.h
@@ -21,19 +21,23 @@
 {
 public:
     PeerDuty(core::DaemonIdentity self, EventLog &events, Metrics &metrics,
-             std::function<bool(IncomingMessage)> deliver);
+             std::function<bool(IncomingMessage)> deliver, std::function<bool(IncomingSlotMessage)> deliverSlots);
     ~PeerDuty();
 
     /// Binds the UDP socket; an error of step `listen` when that fails.
     core::Result<core::Done> start(const std::string &address);
     void stop() { m_worker.stop(); }
 
+    /// From the control duty.
     Ring<ToPeers> &outgoing() noexcept { return m_outgoing; }
+    /// From the routing duty.
+    Ring<OutgoingSlotMessage> &outgoingSlots() noexcept { return m_outgoingSlots; }
     Worker &worker() noexcept { return m_worker; }
 
 private:
     void take(const PeerAddresses &addresses);
     void take(const OutgoingMessage &message);
+    void send(const std::string &to, const core::PeerMessage &message);
     void receive();
     void received(std::size_t bytes);
 
@@ -41,9 +45,11 @@
     EventLog &m_events;
     Metrics &m_metrics;
     std::function<bool(IncomingMessage)> m_deliver;
+    std::function<bool(IncomingSlotMessage)> m_deliverSlots;
     Worker m_worker{"peers"};
     boost::asio::ip::udp::socket m_socket;
     Ring<ToPeers> m_outgoing;
+    Ring<OutgoingSlotMessage> m_outgoingSlots;
     std::map<std::string, boost::asio::ip::udp::endpoint> m_endpoints;
     std::array<char, 65'536> m_buffer{};
     boost::asio::ip::udp::endpoint m_from;
--- a/packages/daemon/src/routingduty.cpp
+++ b/packages/daemon/src/routingduty.cpp
@@ -19,7 +19,10 @@
 
 constexpr std::size_t requestRing = 8192; ///< Full: the caller duty refuses as not run.
 constexpr std::size_t updateRing = 4096; ///< Full: the control duty keeps the update and tries again.
+constexpr std::size_t slotRing = 16'384; ///< Full: messages are dropped and counted; they are repeated.
 constexpr std::chrono::milliseconds tickPeriod{1};
+constexpr std::chrono::milliseconds idleTickPeriod{20};
+constexpr core::Duration activeTime = std::chrono::milliseconds(300); ///< Counts of slots are reported this long after.
 constexpr core::Duration loadPeriod = std::chrono::milliseconds(1000);
 
 /// Header fields that concern one connection only (RFC 9110, 7.6.1) or that only a daemon may set.
@@ -53,13 +56,15 @@
 
 } // namespace
 
-RoutingDuty::RoutingDuty(const std::string &daemonId, std::uint64_t seed, EventLog &events, Metrics &metrics,
-                         std::function<bool(CallerAnswer)> answer, std::function<bool(RoutingToControl)> tellControl)
-    : m_daemonId(daemonId)
+RoutingDuty::RoutingDuty(core::DaemonIdentity self, std::uint64_t seed, EventLog &events, Metrics &metrics,
+                         std::function<bool(CallerAnswer)> answer, std::function<bool(RoutingToControl)> tellControl,
+                         std::function<bool(OutgoingSlotMessage)> tellPeers)
+    : m_self(std::move(self))
     , m_events(events)
     , m_metrics(metrics)
     , m_answer(std::move(answer))
     , m_tellControl(std::move(tellControl))
+    , m_tellPeers(std::move(tellPeers))
     , m_timer(m_worker.context())
     , m_client(m_worker.context())
     , m_traffic(m_client)
@@ -72,6 +77,9 @@
         m_updates.drain(
             [this](ControlToRouting message) { std::visit([this](auto &typed) { take(std::move(typed)); }, message); });
     }))
+    , m_slotMessages(slotRing, m_worker.waker([this] {
+        m_slotMessages.drain([this](const IncomingSlotMessage &message) { take(message); });
+    }))
 {
 }
 
@@ -88,11 +96,15 @@
 
 void RoutingDuty::armTimer()
 {
-    m_timer.expires_after(tickPeriod);
-    m_timer.async_wait([this](const boost::system::error_code &error) {
+    const core::Time now = bootTime();
+    if (m_router.activeRequests() != 0)
+        m_lastActive = now;
+    const bool isActive = now - m_lastActive < activeTime;
+    m_timer.expires_after(isActive ? tickPeriod : idleTickPeriod);
+    m_timer.async_wait([this, isActive](const boost::system::error_code &error) {
         if (error)
             return;
-        if (m_router.activeRequests() != 0)
+        if (isActive || m_router.activeRequests() != 0)
             run(core::RouterTick{});
         reportLoad();
         armTimer();
@@ -121,7 +133,7 @@
     Exchange exchange;
     exchange.id = request.exchange;
     exchange.requestId = http::headerValue(request.message.headers, platform::requestIdHeader)
-                             .value_or(m_daemonId + "-" + std::to_string(m_nextPart));
+                             .value_or(m_self.id + "-" + std::to_string(m_nextPart));
     exchange.service = head.service;
     exchange.arrived = bootTime();
     exchange.message = std::make_shared<const http::Request>(std::move(request.message));
@@ -292,6 +304,32 @@
     finishExchange(exchange, errorResponse(effect.error, outcome, exchange.requestId));
 }
 
+void RoutingDuty::act(const core::AskForSlots &effect)
+{
+    if (effect.to == m_self.id)
+        allocate(m_self, effect.demand);
+    else if (!effect.to.empty())
+        m_tellPeers({effect.to, effect.demand});
+}
+
+void RoutingDuty::take(const IncomingSlotMessage &message)
+{
+    if (const auto *demand = std::get_if<core::SlotDemand>(&message.message))
+        allocate(message.from, *demand);
+    else
+        run(core::SlotsGranted{std::get<core::SlotGrant>(message.message)});
+}
+
+void RoutingDuty::allocate(const core::DaemonIdentity &from, const core::SlotDemand &demand)
+{
+    for (const core::AddressedGrant &grant : m_allocator.handle(from, demand, bootTime())) {
+        if (grant.to == m_self.id)
+            run(core::SlotsGranted{grant.grant});
+        else
+            m_tellPeers({grant.to, grant.grant});
+    }
+}
+
 void RoutingDuty::finishPart(core::RequestId part, http::Response answer)
 {
     const auto found = m_exchanges.find(m_parts.at(part).exchange);
--- a/packages/daemon/src/routingduty.h
+++ b/packages/daemon/src/routingduty.h
@@ -3,6 +3,7 @@
 #include "dutymessages.h"
 
 #include <sardinehinge/core/requestrouter.h>
+#include <sardinehinge/core/slotallocator.h>
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
@@ -20,8 +21,9 @@
 class RoutingDuty
 {
 public:
-    RoutingDuty(const std::string &daemonId, std::uint64_t seed, EventLog &events, Metrics &metrics,
-                std::function<bool(CallerAnswer)> answer, std::function<bool(RoutingToControl)> tellControl);
+    RoutingDuty(core::DaemonIdentity self, std::uint64_t seed, EventLog &events, Metrics &metrics,
+                std::function<bool(CallerAnswer)> answer, std::function<bool(RoutingToControl)> tellControl,
+                std::function<bool(OutgoingSlotMessage)> tellPeers);
     ~RoutingDuty();
 
     void start();
@@ -29,6 +31,8 @@
 
     Ring<ToRouting> &requests() noexcept { return m_requests; }
     Ring<ControlToRouting> &updates() noexcept { return m_updates; }
+    /// From the peer duty; a full ring drops messages, which are repeated.
+    Ring<IncomingSlotMessage> &slotMessages() noexcept { return m_slotMessages; }
     Worker &worker() noexcept { return m_worker; }
 
 private:
@@ -67,6 +71,9 @@
     void act(const core::CancelAttempt &effect);
     void act(const core::PassAnswer &effect);
     void act(const core::Refuse &effect);
+    void act(const core::AskForSlots &effect);
+    void take(const IncomingSlotMessage &message);
+    void allocate(const core::DaemonIdentity &from, const core::SlotDemand &demand);
     void finishPart(core::RequestId part, http::Response answer);
     void finishExchange(Exchange &exchange, http::Response response);
     void endParts(const std::vector<core::RequestId> &parts);
@@ -74,23 +81,27 @@
     void armTimer();
     void reportLoad();
 
-    std::string m_daemonId;
+    core::DaemonIdentity m_self;
     EventLog &m_events;
     Metrics &m_metrics;
     std::function<bool(CallerAnswer)> m_answer;
     std::function<bool(RoutingToControl)> m_tellControl;
+    std::function<bool(OutgoingSlotMessage)> m_tellPeers;
     Worker m_worker{"routing"};
     boost::asio::steady_timer m_timer;
     http::Client m_client;
     platform::HttpTargetTraffic m_traffic;
     core::RequestRouter m_router;
+    core::SlotAllocator m_allocator;
     Ring<ToRouting> m_requests;
     Ring<ControlToRouting> m_updates;
+    Ring<IncomingSlotMessage> m_slotMessages;
     std::map<std::string, core::WorkspaceSpec> m_workspaces;
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::unordered_map<core::RequestId, Part> m_parts;
     core::RequestId m_nextPart = 1;
     core::Time m_lastLoadReport{};
+    core::Time m_lastActive{};
 };
 
 } // namespace sardinehinge::daemon
--- a/packages/platform/include/sardinehinge/platform/targetcontrol.h
+++ b/packages/platform/include/sardinehinge/platform/targetcontrol.h
@@ -13,6 +13,7 @@
 {
     std::optional<core::TargetReport> report;
     bool refused = false;
+    std::size_t bytes = 0; ///< Of the order and its report with their headers.
 
     bool operator==(const OrderEnd &) const = default;
 };
--- a/packages/platform/src/httptargetcontrol.cpp
+++ b/packages/platform/src/httptargetcontrol.cpp
@@ -3,6 +3,21 @@
 
 namespace sardinehinge::platform {
 
+namespace {
+
+constexpr std::size_t requestLineBytes = 64; ///< Request line, Host and Content-Length as the client writes them.
+constexpr std::size_t statusLineBytes = 20;
+
+std::size_t sizeOf(const http::Headers &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers)
+        bytes += name.size() + value.size() + 4;
+    return bytes;
+}
+
+} // namespace
+
 HttpTargetControl::HttpTargetControl(http::Client &client)
     : m_client(client)
 {
@@ -12,8 +27,11 @@
                              Callback done)
 {
     http::Request request{"POST", orderPath, {{"Content-Type", "application/json"}}, encodeOrder(order), {}};
-    m_client.send(address, request, timeout, [done = std::move(done)](const http::ExchangeEnd &end) {
-        OrderEnd result{std::nullopt, end.step == http::ExchangeStep::Refused};
+    const std::size_t sent = requestLineBytes + sizeOf(request.headers) + request.body.size();
+    m_client.send(address, request, timeout, [done = std::move(done), sent](const http::ExchangeEnd &end) {
+        OrderEnd result{std::nullopt, end.step == http::ExchangeStep::Refused, sent};
+        if (end.step == http::ExchangeStep::Complete)
+            result.bytes += statusLineBytes + sizeOf(end.response.headers) + end.response.body.size();
         if (end.step == http::ExchangeStep::Complete && end.response.status == 200) {
             const auto report = decodeReport(end.response.body);
             if (const auto *value = std::get_if<core::TargetReport>(&report))
--- a/packages/protocol/peer.thrift
+++ b/packages/protocol/peer.thrift
@@ -75,6 +75,25 @@
   3: i64 revision
 }
 
+struct SlotDemand {
+  1: string target
+  2: i32 slots
+  3: i32 longSlots
+  4: i64 wantedShort
+  5: i64 wantedLong
+  6: i64 grantedShort
+  7: i64 grantedLong
+  8: i64 finishedShort
+  9: i64 finishedLong
+}
+
+struct SlotGrant {
+  1: string target
+  2: i64 grantedShort
+  3: i64 grantedLong
+  4: bool isCalm
+}
+
 union Body {
   1: PromiseRequest promiseRequest
   2: PromiseReply promiseReply
@@ -86,6 +105,8 @@
   8: DigestList digestList
   9: RevisionQuery revisionQuery
   10: RevisionReply revisionReply
+  11: SlotDemand slotDemand
+  12: SlotGrant slotGrant
 }
 
 struct Envelope {
--- a/packages/protocol/src/peercodec.cpp
+++ b/packages/protocol/src/peercodec.cpp
@@ -122,6 +122,31 @@
         body.__set_revisionReply(out);
     }
 
+    void operator()(const core::SlotDemand &message) const
+    {
+        wire::SlotDemand out;
+        out.__set_target(message.target);
+        out.__set_slots(static_cast<std::int32_t>(message.slots));
+        out.__set_longSlots(static_cast<std::int32_t>(message.longSlots));
+        out.__set_wantedShort(toWire(message.wanted.shortWork));
+        out.__set_wantedLong(toWire(message.wanted.longWork));
+        out.__set_grantedShort(toWire(message.granted.shortWork));
+        out.__set_grantedLong(toWire(message.granted.longWork));
+        out.__set_finishedShort(toWire(message.finished.shortWork));
+        out.__set_finishedLong(toWire(message.finished.longWork));
+        body.__set_slotDemand(out);
+    }
+
+    void operator()(const core::SlotGrant &message) const
+    {
+        wire::SlotGrant out;
+        out.__set_target(message.target);
+        out.__set_grantedShort(toWire(message.granted.shortWork));
+        out.__set_grantedLong(toWire(message.granted.longWork));
+        out.__set_isCalm(message.isCalm);
+        body.__set_slotGrant(out);
+    }
+
 private:
     template<typename Wire, typename Message>
     static Wire confirmation(const Message &message)
@@ -143,6 +168,16 @@
     return list;
 }
 
+core::SlotDemand readSlotDemand(const wire::SlotDemand &in)
+{
+    return {in.target,
+            static_cast<std::uint32_t>(in.slots),
+            static_cast<std::uint32_t>(in.longSlots),
+            {fromWire(in.wantedShort), fromWire(in.wantedLong)},
+            {fromWire(in.grantedShort), fromWire(in.grantedLong)},
+            {fromWire(in.finishedShort), fromWire(in.finishedLong)}};
+}
+
 /// The message in a body, or nothing when no known field is set.
 std::optional<core::PeerMessage> readBody(const wire::Body &body)
 {
@@ -181,6 +216,12 @@
         const auto &in = body.revisionReply;
         return core::RevisionReply{in.document, fromWire(in.token), fromWire(in.revision)};
     }
+    if (set.slotDemand)
+        return readSlotDemand(body.slotDemand);
+    if (set.slotGrant) {
+        const auto &in = body.slotGrant;
+        return core::SlotGrant{in.target, {fromWire(in.grantedShort), fromWire(in.grantedLong)}, in.isCalm};
+    }
     return std::nullopt;
 }
 
--- a/packages/protocol/tests/peercodec_test.cpp
+++ b/packages/protocol/tests/peercodec_test.cpp
@@ -29,6 +29,8 @@
         DigestList{{{"workspaces/w", 12}, {"control/w/s", 13}}, true},
         RevisionQuery{"workspaces/w", 99},
         RevisionReply{"workspaces/w", 99, 12},
+        SlotDemand{"target-1", 6, 2, {9, 1}, {8, 1}, {7, 0}},
+        SlotGrant{"target-1", {9, 1}, true},
     }));
     const protocol::Envelope envelope = envelopeWith(message);
     const auto decoded = protocol::decode(protocol::encode(envelope));
