--- a/packages/core/include/sardinehinge/core/controlgroup.h
+++ b/packages/core/include/sardinehinge/core/controlgroup.h
@@ -41,6 +41,7 @@
     std::optional<ServiceSpec> spec;
     std::set<std::string> drainedTargets;
     bool shuttingDown = false;
+    Duration shutdownGrace = 30s; ///< Grants are renewed no longer than this for work that still runs.
 };
 
 /// A control record that reached this daemon through its peers or the store.
@@ -314,6 +315,7 @@
     std::set<std::string> m_listed; ///< Ids in m_view.
     std::vector<Instance> m_targets; ///< Entries of m_view that serve this group.
     ServiceChanged m_config;
+    Time m_shutdownSince = 0ms;
     std::map<std::string, std::uint64_t> m_knownIncarnations;
 
     ControlRecord m_record;
--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -27,13 +27,11 @@
 
 // 300-399: requests.
 constexpr std::uint32_t requestOutcomeUnknown = 300;
-constexpr std::uint32_t callerRefused = 301;
 
 // 400-499: the process.
 constexpr std::uint32_t daemonStarted = 400;
 constexpr std::uint32_t drainStarted = 401;
 constexpr std::uint32_t daemonStopped = 402;
-constexpr std::uint32_t ringFull = 403;
 constexpr std::uint32_t peerMessageRefused = 404;
 
 // 500-599: operators.
--- a/packages/core/src/controlgroup.cpp
+++ b/packages/core/src/controlgroup.cpp
@@ -97,6 +97,8 @@
 
 void ControlGroup::onEvent(const ServiceChanged &event)
 {
+    if (event.shuttingDown && !m_config.shuttingDown)
+        m_shutdownSince = m_now;
     m_config = event;
     m_workPending = true;
 }
--- a/packages/core/src/controlgroup_targets.cpp
+++ b/packages/core/src/controlgroup_targets.cpp
@@ -23,6 +23,8 @@
 {
     if (!hasAuthority(m_now))
         return;
+    if (m_config.shuttingDown && m_now - m_shutdownSince > m_config.shutdownGrace)
+        return;
     // A target that takes any order could be given back what it lost; only a controller that knows may order it.
     if (m_role == ControlRole::Steward && !checksFences())
         return;
--- a/packages/core/src/requestrouter.cpp
+++ b/packages/core/src/requestrouter.cpp
@@ -298,12 +298,16 @@
     request.mayHaveRun = request.mayHaveRun || !isCertainlyNotRun(end);
     if (!isCertainlyNotRun(end) && !request.isIdempotent)
         return endUncertain(request, request.lastError);
+    Service *service = serviceOf(request.head.service);
+    // Its target has let the shards go and won't take them back, so waiting would only hold the caller up.
+    if (isCertainlyNotRun(end) && service != nullptr && service->shuttingDown)
+        return endUncertain(request,
+                            {ErrorCode::ShuttingDown, "target", request.target, "the workspace is shutting down"});
     // The budget keeps retries from amplifying a crest of work. What reached no target, or was refused before it
     // started, adds none: such a request waits for its owner, or for a slot, until its deadline.
     const bool isHandover = end == AttemptEnd::NotOwner;
     const bool isFull = end == AttemptEnd::Shed;
     const bool isUnreached = end == AttemptEnd::NothingSent && request.isKeyed;
-    Service *service = serviceOf(request.head.service);
     const bool isFree = isHandover || isFull || isUnreached;
     if (!isFree && (service == nullptr || !spendRetry(*service)))
         return endUncertain(request, request.lastError);
--- a/packages/core/tests/controlgroup_test.cpp
+++ b/packages/core/tests/controlgroup_test.cpp
@@ -79,7 +79,7 @@
          30s,
          4s},
     }));
-    const auto seed = GENERATE(range<std::uint64_t>(1, 21));
+    const auto seed = GENERATE(range<std::uint64_t>(1, 31));
     INFO(loss.name << ", seed " << seed);
     ControlWorld world = startedWorld({11, 5, 16, true, 0.004, seed});
     const Time struck = world.now();
@@ -110,6 +110,24 @@
     CHECK(report(violationsIn(world.history())) == "");
 }
 
+TEST_CASE("A shutdown releases idle shards at once, waits for work that runs, and for no longer than its grace")
+{
+    ControlWorld world = startedWorld({5, 3, 6, true, 0.004, 2});
+    world.runRequest(0, 1s);
+    world.runRequest(1, 60s);
+    world.shutDown();
+    world.runFor(500ms);
+    CHECK(world.holder(0));
+    CHECK(world.holder(1));
+    CHECK(!world.holder(2));
+    world.runFor(1s);
+    CHECK(!world.holder(0));
+    CHECK(world.holder(1));
+    world.runFor(3s);
+    CHECK(!world.holder(1));
+    CHECK(report(violationsIn(world.history())) == "");
+}
+
 TEST_CASE("In a quiet fleet the store isn't called")
 {
     ControlWorld world = startedWorld({11, 5, 16, true, 0.004, 3});
--- a/packages/core/tests/controlworld.cpp
+++ b/packages/core/tests/controlworld.cpp
@@ -119,12 +119,7 @@
     daemon.identity = {daemonName(index), static_cast<std::uint64_t>(m_now.count()) + index};
     daemon.group = std::make_unique<ControlGroup>(service, daemon.identity, LeaseTiming{});
     const std::uint64_t life = daemon.identity.incarnation;
-    ServiceSpec spec;
-    spec.name = service.service;
-    spec.division = Division::Hash;
-    spec.shardCount = m_options.shards;
-    spec.targetsCheckFences = m_options.targetsCheckFences;
-    deliver(index, life, ServiceChanged{spec, {m_drained.begin(), m_drained.end()}, false});
+    deliver(index, life, serviceChanged(false));
     deliver(index, life, InstancesChanged{view()});
     // What peers hold reaches a new daemon soon after its start; so does its incarnation reach them.
     schedule(delay(1000, 300'000), [this, index, life] {
@@ -136,6 +131,30 @@
     tick(index, life);
 }
 
+ServiceChanged ControlWorld::serviceChanged(bool shuttingDown) const
+{
+    ServiceSpec spec;
+    spec.name = service.service;
+    spec.division = Division::Hash;
+    spec.shardCount = m_options.shards;
+    spec.targetsCheckFences = m_options.targetsCheckFences;
+    return {spec, {m_drained.begin(), m_drained.end()}, shuttingDown, 3s};
+}
+
+void ControlWorld::shutDown()
+{
+    for (std::uint32_t index = 0; index < m_daemons.size(); ++index)
+        deliver(index, m_daemons[index].identity.incarnation, serviceChanged(true));
+}
+
+void ControlWorld::runRequest(std::uint32_t shard, Duration length)
+{
+    Target &target = m_targets[*holder(shard)];
+    const ShardEpoch held{shard, m_assignments.back().assignment.shards[shard].epoch};
+    target.grants->begin(toString(service), held);
+    schedule(length, [this, &target, held] { target.grants->end(toString(service), held, targetClock(target)); });
+}
+
 void ControlWorld::startTarget(std::uint32_t index)
 {
     Target &target = m_targets[index];
--- a/packages/core/tests/controlworld.h
+++ b/packages/core/tests/controlworld.h
@@ -61,6 +61,10 @@
     explicit ControlWorld(WorldOptions options);
 
     void inject(const Fault &fault);
+    /// The workspace shuts down, with a grace of 3 s.
+    void shutDown();
+    /// A request runs at the shard's owner for this long.
+    void runRequest(std::uint32_t shard, Duration length);
     void runFor(Duration length);
     /// Runs until `holds` or the limit has passed; returns whether it held.
     bool runUntil(const std::function<bool()> &holds, Duration limit);
@@ -149,6 +153,7 @@
     void spread(bool isRecord);
     void tick(std::uint32_t daemon, std::uint64_t life);
     void publishList();
+    ServiceChanged serviceChanged(bool shuttingDown) const;
     InstanceView view() const;
     void begin(const Fault &fault);
     void end(const Fault &fault);
--- a/packages/core/tests/requestrouter_test.cpp
+++ b/packages/core/tests/requestrouter_test.cpp
@@ -258,6 +258,17 @@
     CHECK(only<PassAnswer>(router.handle(AttemptFinished{1, 1, AttemptEnd::Answered}, 2200ms)).size() == 1);
 }
 
+TEST_CASE("A request that its target refuses while the workspace shuts down ends at once as not run")
+{
+    TestRouter router = readyRouter();
+    REQUIRE(only<StartAttempt>(router.handle(RequestArrived{head(1, keyed, "/subscribe", "k")}, 2s)).size() == 1);
+    router.handle(WorkspaceChanged{"kanalstivej", workspace(WorkspaceState::Shutdown)}, 2100ms);
+    const auto refusals = only<Refuse>(router.handle(AttemptFinished{1, 1, AttemptEnd::NotOwner}, 2101ms));
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].notRun);
+    CHECK(refusals[0].error.code == ErrorCode::ShuttingDown);
+}
+
 TEST_CASE("A caller that leaves frees its slot exactly once")
 {
     TestRouter router = readyRouter();
--- a/packages/daemon/src/controlduty.cpp
+++ b/packages/daemon/src/controlduty.cpp
@@ -449,7 +449,9 @@
         if (isNew)
             group = std::make_unique<Group>(Group{id, core::ControlGroup(id, m_self, m_timing), {}});
         const std::set<std::string> drained(spec.drainedTargets.begin(), spec.drainedTargets.end());
-        runGroup(*group, core::ServiceChanged{service, drained, spec.state == core::WorkspaceState::Shutdown});
+        runGroup(
+            *group,
+            core::ServiceChanged{service, drained, spec.state == core::WorkspaceState::Shutdown, spec.shutdownGrace});
         if (!isNew)
             continue;
         if (m_isResigned)
