--- a/packages/core/include/sardinehinge/core/requestrouter.h
+++ b/packages/core/include/sardinehinge/core/requestrouter.h
@@ -229,6 +229,7 @@
     static const Instance *findTarget(const Service &service, const std::string &id) noexcept;
     void updateTargets(const ServiceId &id, Service &service);
     void rerouteAll(const ServiceId &service);
+    void expectBursts(const Service &service, const Assignment &next);
     void leaveLostOwners(const ServiceId &id);
     void release(const std::string &target, WorkClass workClass, bool wasShed);
     void finishAnswered(Request &request);
--- a/packages/core/include/sardinehinge/core/targetqueue.h
+++ b/packages/core/include/sardinehinge/core/targetqueue.h
@@ -26,6 +26,7 @@
     Duration shedPauseMax = 32ms;
     Duration waitBound = 8ms; ///< Wait that a queue may exceed only for a while.
     Duration waitPatience = 30ms; ///< That while; then the queue is at its crest.
+    Duration burstTime = 500ms; ///< How long a burst after a move may last.
     Duration crestMemory = 1s; ///< A crest is over this long after the last wait above the bound.
 
     bool operator==(const QueueTiming &) const = default;
@@ -72,6 +73,8 @@
     void learnDuration(Duration taken) noexcept;
     /// How long a request that is pushed now would wait, from the pace at which the queue moved lately.
     Duration expectedWait() const noexcept;
+    /// Shards have just moved to the target: what waited for them comes in a burst, which is no crest.
+    void expectBurst(Time now) noexcept;
     /// Whether one more request would only make all wait: waits have exceeded the bound for long (the signal of CoDel,
     /// Nichols and Jacobson, 2012), and the first in line waits that long already.
     bool isAtCrest(Time now) const noexcept;
@@ -127,6 +130,7 @@
     bool m_isDirty = false; ///< Counts changed since the last demand.
     std::optional<Time> m_overdueSince; ///< Every wait since then exceeded the bound.
     Time m_crestUntil = 0ms;
+    Time m_burstUntil = 0ms;
 };
 
 } // namespace sardinehinge::core
--- a/packages/core/src/targetqueue.cpp
+++ b/packages/core/src/targetqueue.cpp
@@ -136,7 +136,7 @@
 
 void TargetQueue::learnWait(Duration wait, Time now) noexcept
 {
-    if (wait <= m_timing.waitBound) {
+    if (wait <= m_timing.waitBound || now < m_burstUntil) {
         m_overdueSince.reset();
         return;
     }
@@ -230,6 +230,12 @@
     return m_pace * static_cast<Duration::rep>(m_waiting);
 }
 
+void TargetQueue::expectBurst(Time now) noexcept
+{
+    m_burstUntil = now + m_timing.burstTime;
+    m_crestUntil = 0ms;
+}
+
 bool TargetQueue::isAtCrest(Time now) const noexcept
 {
     return now < m_crestUntil && longestWait(now) > m_timing.waitBound;
--- a/packages/core/tests/parts_test.cpp
+++ b/packages/core/tests/parts_test.cpp
@@ -323,6 +323,24 @@
     CHECK(queue.takeNext(now + 2ms));
 }
 
+TEST_CASE("Long waits make a crest, except in the burst after a move")
+{
+    const bool isBurst = GENERATE(false, true);
+    TargetQueue queue("t", 6, 2);
+    Time now = 1000s;
+    if (isBurst)
+        queue.expectBurst(now);
+    for (TargetQueue::Id id = 1; id <= 400; ++id)
+        queue.push(id, "caller", WorkClass::Short, now);
+    for (const Time end = now + 100ms; now < end; now += 1ms) {
+        const std::uint64_t granted = static_cast<std::uint64_t>((now - 1000s) / 1ms);
+        queue.take({"t", {granted, 0}, false}, now);
+        while (queue.takeNext(now))
+            queue.finished(WorkClass::Short, false, now);
+    }
+    CHECK(queue.isAtCrest(now) == !isBurst);
+}
+
 TEST_CASE("Callers take turns")
 {
     TargetQueue queue("t", 1, 1);
