--- a/scripts/benchparts.sh
+++ b/scripts/benchparts.sh
@@ -113,7 +113,7 @@
   "$ctl" --daemon="$(operators 1)" target drain "$target" --workspace=kanalstivej >/dev/null; wait $load
   # The last request that the target started, by its own record, on the clock that all share.
   sed -n 's/.*"at":\([0-9]*\).*"kind":"start".*/\1/p' "$run/$target.jsonl" | tail -1 >"$run/last"
-  show drain_last_new_request "$(awk -v s="$started" '{ v = $1 / 1e6 - s; print v > 0 ? v : 0 }' "$run/last")" ms
+  show drain_last_new_request "$(awk -v s="$started" '{ v = $1 / 1e6 - s; print (v > 0 ? v : 0) }' "$run/last")" ms
 }
 
 # metric NAME-AND-LABELS DAEMON
