Let the stand-ins freeze over HTTP

Ruled out: nothing else. Change: freezeMs among the faults of both. Conclusion: the stand-ins do what the issue lists.

--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -193,6 +193,7 @@
         m_faults = {body.value("down").toBool(), body.value("slowMs").toInt(), body.value("dropWriteAnswers").toInt(),
                     body.value("listLagMs").toInt(), body.value("staleReads").toInt()};
         answerWatches();
+        freezeSoon(m_context, std::chrono::milliseconds(body.value("freezeMs").toInt()));
         return jsonResponse({});
     }
 
--- a/standins/standinserver.h
+++ b/standins/standinserver.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <iostream>
 #include <memory>
+#include <thread>
 
 /// What both stand-in programs share: clock, JSON answers, delays, and the way they start and stop.
 namespace sardinehinge::standins {
@@ -45,6 +46,14 @@
     timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &) { action(); });
 }
 
+/// Stops the whole process for `length`, soon, as a frozen one would stand; the answer under way still leaves.
+inline void freezeSoon(boost::asio::io_context &context, core::Duration length)
+{
+    constexpr std::chrono::milliseconds answerTime{20};
+    if (length > core::Duration(0))
+        after(context, answerTime, [length] { std::this_thread::sleep_for(length); });
+}
+
 /// Listens and runs until SIGTERM or SIGINT; returns the exit status.
 inline int serve(boost::asio::io_context &context, http::RequestHandler &handler, const std::string &address,
                  http::ServerLimits limits)
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -91,6 +91,7 @@
         m_faults
             = {body.value("lateMs").toInt(), body.value("closeAfterRead").toInt(), body.value("closeAfterWork").toInt(),
                body.value("truncate").toInt(), body.value("leaving").toBool()};
+        freezeSoon(m_context, std::chrono::milliseconds(body.value("freezeMs").toInt()));
         return jsonResponse({});
     }
 
