Keep operators' slow queries apart from their commands

Cause: two queries that take a while stood under /commands in the daemon's operator interface. Ruled out: answering them by GET while they wait, which would hold an answer open. Conclusion: commands and queries are apart in both programs.

--- a/packages/client/src/commands.cpp
+++ b/packages/client/src/commands.cpp
@@ -26,7 +26,7 @@
     elapsed.start();
     const QString operation = newOperationId();
     const auto asked = connection.post(
-        "/commands/check-in-force",
+        "/queries/check-in-force",
         {{"operation", operation}, {"document", "workspaces/" + workspace}, {"revision", QString::number(revision)}},
         {});
     if (const core::Error *error = core::errorIn(asked))
--- a/packages/client/src/queries.cpp
+++ b/packages/client/src/queries.cpp
@@ -140,7 +140,7 @@
     const QString operation = newOperationId();
     const QString document = "workspaces/" + QString::fromStdString(arguments.words.at(2));
     const auto asked
-        = connection->post("/commands/show-history", {{"operation", operation}, {"document", document}}, {});
+        = connection->post("/queries/show-history", {{"operation", operation}, {"document", document}}, {});
     if (const core::Error *error = core::errorIn(asked))
         return fail(*error);
     const auto result = connection->awaitOperation(operation, historySeconds);
--- a/packages/daemon/src/operatorserver.cpp
+++ b/packages/daemon/src/operatorserver.cpp
@@ -105,7 +105,7 @@
 {
     m_server.route("/commands/apply-workspace", QHttpServerRequest::Method::Post,
                    [this](const QHttpServerRequest &request) { return applyWorkspace(request); });
-    m_server.route("/commands/check-in-force", QHttpServerRequest::Method::Post,
+    m_server.route("/queries/check-in-force", QHttpServerRequest::Method::Post,
                    [this](const QHttpServerRequest &request) {
                        const std::string operation = queryText(request, "operation");
                        if (!isOperationId(operation))
@@ -115,7 +115,7 @@
                                        operation);
                    });
     m_server.route(
-        "/commands/show-history", QHttpServerRequest::Method::Post, [this](const QHttpServerRequest &request) {
+        "/queries/show-history", QHttpServerRequest::Method::Post, [this](const QHttpServerRequest &request) {
             const std::string operation = queryText(request, "operation");
             if (!isOperationId(operation))
                 return needsOperation();
