Hold the kill test to the target of 1 s

Cause: process_serve_and_fail allowed 1400 ms, with room for keys drawn at random; keys are taken in turn since. Ruled out: nothing else. Change: the bound is 1 s and the 40 ms between two requests for a key.

--- a/tests/process/serve_and_fail.sh
+++ b/tests/process/serve_and_fail.sh
@@ -17,8 +17,8 @@
 kill_target "$victim"
 await_load
 cat "$run"/first.txt "$run"/second.txt "$run"/once.txt
-# 40 keys at 1000/s are asked every 40 ms on average; random arrivals can leave a key unasked for about 400 ms more.
-expect "longest gap of a key after a kill, ms" "$(figure first_key_gap_max "$run/first.txt")" "<=" 1400
+# Keys are taken in turn, so each of the 40 is asked every 40 ms: the target of 1 s and one such period.
+expect "longest gap of a key after a kill, ms" "$(figure first_key_gap_max "$run/first.txt")" "<=" 1040
 expect "longest read after a kill, ms" "$(figure first_max "$run/first.txt")" "<=" 1000
 # How long keys are away after the double kill is the matter of double_loss_time.sh.
 await 5 all_keys_served
