--- a/benchmark/loadgen.cpp
+++ b/benchmark/loadgen.cpp
@@ -2,7 +2,7 @@
 #include "loadreport.h"
 
 #include <sardinehinge/http/client.h>
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -112,7 +112,7 @@
             addQuery("workMs=" + std::to_string(m_options.longMs));
         else if (m_options.workMs > 0)
             addQuery("workMs=" + std::to_string(m_options.workMs));
-        http::Request request{m_options.method, target, {{platform::requestIdHeader, id}}, {}, {}};
+        http::Request request{m_options.method, target, {{edges::requestIdHeader, id}}, {}, {}};
         request.headers.emplace_back("Sardinehinge-Caller", m_options.caller);
         const std::string &address = m_options.addresses[m_sent % m_options.addresses.size()];
         ++m_sent;
--- a/packages/client/src/queries.cpp
+++ b/packages/client/src/queries.cpp
@@ -3,7 +3,7 @@
 #include "output.h"
 
 #include <sardinehinge/client/timeline.h>
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <QFile>
 #include <QJsonArray>
@@ -165,7 +165,7 @@
     QFile file(QString::fromStdString(arguments.words.at(2)));
     if (!file.open(QIODevice::ReadOnly))
         return fail(exitUsage, arguments.words.at(2) + ": " + file.errorString().toStdString());
-    const auto document = platform::decodeWorkspace(file.readAll().toStdString());
+    const auto document = edges::decodeWorkspace(file.readAll().toStdString());
     if (const auto *faults = std::get_if<std::vector<std::string>>(&document)) {
         for (const std::string &fault : *faults)
             fail(exitUsage, fault);
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -0,0 +1,340 @@
+#pragma once
+
+#include <sardinehinge/core/keyrange.h>
+#include <sardinehinge/core/rangeplanner.h>
+#include <sardinehinge/core/target.h>
+
+#include <optional>
+#include <set>
+#include <variant>
+
+/// Who owns which keys of a sharded service, for targets that count a lease from the arrival of a grant and refuse fences
+/// lower than the highest they have seen.
+namespace sardinehinge::core {
+
+/// Periods and bounds of ownership. docs/DESIGN.md derives them.
+struct OwnershipTiming
+{
+    Duration lease = std::chrono::milliseconds(2000); ///< Time that a grant is given for.
+    double clockSlack = 1.025; ///< A target's clock may run 2% slow, ours 0.5%.
+    Duration renewEvery = std::chrono::milliseconds(500); ///< A quarter of the lease: three losses in a row are borne.
+    Duration orderTimeout = std::chrono::milliseconds(600); ///< Targets with long queues answer within this.
+    Duration secondOrder = std::chrono::milliseconds(250); ///< Without an answer, another order is sent beside the first.
+    Duration lostAfter = std::chrono::milliseconds(1200); ///< Without an answer for so long a target gets no more orders.
+    Duration releaseTimeout = std::chrono::milliseconds(4000); ///< A release waits for the work under way.
+    Duration authority = std::chrono::seconds(20); ///< Without word from the store, a controller renews for this long:
+                                                   ///< twice the longest outages that the users list.
+    Duration confirmEvery = std::chrono::milliseconds(1000);
+    Duration heartbeat = std::chrono::milliseconds(200);
+    Duration controllerSilence = std::chrono::milliseconds(700); ///< Three heartbeats lost, and some delay.
+    Duration rankStep = std::chrono::milliseconds(120); ///< A store write takes less, so candidates rarely collide.
+    Duration storeSilence = std::chrono::milliseconds(2500); ///< A controller that hears nothing from the store for so
+                                                             ///< long should be replaced by one that does.
+    Duration storeRetry = std::chrono::milliseconds(400); ///< Between two tries of a failed call to the store.
+    Duration planEvery = std::chrono::milliseconds(500);
+    double loadMemory = 0.75; ///< Part of the key load that is kept from one planning period to the next.
+
+    bool operator==(const OwnershipTiming &) const = default;
+};
+
+// Events.
+
+struct ControlTick
+{
+};
+
+/// The store's answer to ReadOwnership; no record when there is none yet.
+struct OwnershipRead
+{
+    std::optional<OwnershipRecord> record;
+    std::uint64_t revision = 0;
+    Time askedAt = 0ms; ///< When the call was sent: the answer holds for some moment after it.
+};
+
+/// A read or a write came to no known end.
+struct OwnershipCallFailed
+{
+    bool wasWrite = false;
+};
+
+struct OwnershipWritten
+{
+    std::uint64_t revision = 0;
+    Time askedAt = 0ms;
+};
+
+/// Another write came first; the object as it is.
+struct OwnershipConflict
+{
+    OwnershipRecord record;
+    std::uint64_t revision = 0;
+};
+
+/// The controller's sign of life, to all daemons.
+struct ControlBeat
+{
+    std::string service;
+    std::string from;
+    std::uint64_t term = 0;
+    std::uint64_t sequence = 0; ///< Of its latest announcement.
+    Duration storeAge = 0ms; ///< Time since it last heard from the store.
+    bool isLeaving = false; ///< It has stopped giving grants: anybody may take over at once.
+
+    bool operator==(const ControlBeat &) const = default;
+};
+
+/// A deposed controller gives no more grants.
+struct ControlResigned
+{
+    std::string service;
+    std::string from;
+    std::uint64_t term = 0;
+
+    bool operator==(const ControlResigned &) const = default;
+};
+
+struct ControlTargets
+{
+    std::vector<RegisteredTarget> targets; ///< Of the service.
+};
+
+struct ControlPeers
+{
+    std::vector<PeerDaemon> peers; ///< Without this daemon.
+};
+
+enum class OrderEndKind { Accepted, HigherFence, Unanswered, Unreachable };
+
+struct OrderEnded
+{
+    std::uint64_t order = 0;
+    OrderEndKind end = OrderEndKind::Unanswered;
+    std::string handover; ///< Of an accepted release.
+};
+
+/// A daemon's requests by key, and the latencies of targets as it sees them.
+struct KeyLoadReport
+{
+    std::map<std::uint32_t, std::uint32_t> requests;
+    std::map<std::string, Duration> latencies;
+};
+
+struct KeyRefused
+{
+    std::string target;
+    std::uint32_t key = 0;
+};
+
+/// The process is told to stop.
+struct ControlStop
+{
+};
+
+using ControlEvent = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
+                                  ControlBeat, ControlResigned, ControlTargets, ControlPeers, OrderEnded, KeyLoadReport,
+                                  KeyRefused, ControlStop>;
+
+// Effects.
+
+struct ReadOwnership
+{
+};
+
+/// Writes the record if its revision is still `expected`; 0 creates it.
+struct WriteOwnership
+{
+    OwnershipRecord record;
+    std::uint64_t expected = 0;
+};
+
+/// An order to a target: to take a range or to let go of it. The adapter answers with one OrderEnded.
+struct RangeOrder
+{
+    std::uint64_t order = 0;
+    bool isRelease = false;
+    std::string target;
+    std::string address;
+    KeyRange range;
+    std::uint64_t fence = 0;
+    Duration lease = 0ms;
+    Duration timeout = 0ms;
+    std::string handover; ///< From the last holder, for a grant.
+};
+
+/// To all daemons, this one included.
+struct AnnounceOwners
+{
+    RangeOwners owners;
+};
+
+struct SendBeat
+{
+    ControlBeat beat;
+};
+
+struct SendResigned
+{
+    std::string to;
+    ControlResigned message;
+};
+
+/// Something that changed what this daemon believes, for the log.
+struct ControlNote
+{
+    std::uint32_t event = 0;
+    std::string detail;
+};
+
+using ControlEffect = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendBeat, SendResigned,
+                                   ControlNote>;
+
+/// One daemon's part in the ownership of one sharded service's keys.
+///
+/// Pure. At most one daemon, the controller, changes owners: it is named in the store's record together with them, and
+/// every change is a conditional write of that one record. Rules that keep every key at one owner:
+/// - A new owner is recorded before it is granted, so that a later controller knows of every grant.
+/// - Fences rise with the term, so a controller's first grant to a target ends all that earlier ones may still send.
+/// - A key leaves a target after that target answered a release, or after the longest lease that any controller may
+///   have given it has surely ended, or when the store shows a later life of the target.
+/// - A controller that hasn't heard from the store for `authority` gives no grants; a later one counts on that.
+class RangeControl
+{
+public:
+    using Effects = std::vector<ControlEffect>;
+
+    RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing = {});
+
+    Effects handle(const ControlEvent &event, Time now);
+
+    bool isController() const noexcept { return m_role == Role::Controller; }
+    std::uint64_t term() const noexcept { return m_term; }
+    /// The owners as last announced by this daemon.
+    RangeOwners owners() const;
+
+private:
+    enum class Role { Follower, Reading, Claiming, Controller, Stopped };
+
+    enum class Phase {
+        Granting, ///< Recorded for its owner, which hasn't confirmed this controller's grant yet.
+        Held,
+        Releasing, ///< The owner was told to let go.
+        Lapsing, ///< The owner is lost; its lease may still run.
+        Free, ///< Nobody holds it, certainly.
+    };
+
+    struct Entry
+    {
+        OwnedRange owned;
+        Phase phase = Phase::Free;
+        bool isInherited = false; ///< Recorded by an earlier controller, not confirmed yet.
+        Time mayHoldUntil = 0ms; ///< The owner's lease has ended by then.
+        Time nextOrder = 0ms;
+        Time unansweredSince = 0ms; ///< 0: the last order was answered.
+        Time releaseEnd = 0ms;
+        std::string handover;
+        std::string destination;
+        std::uint32_t refusedConnections = 0;
+    };
+
+    struct OpenOrder
+    {
+        bool isRelease = false;
+        TargetLife target;
+        KeyRange range;
+        std::uint64_t fence = 0;
+    };
+
+    void on(const ControlTick &);
+    void on(const OwnershipRead &event);
+    void on(const OwnershipCallFailed &event);
+    void on(const OwnershipWritten &event);
+    void on(const OwnershipConflict &event);
+    void on(const ControlBeat &event);
+    void on(const ControlResigned &event);
+    void on(const ControlTargets &event);
+    void on(const ControlPeers &event);
+    void on(const OrderEnded &event);
+    void on(const KeyLoadReport &event);
+    void on(const KeyRefused &event);
+    void on(const ControlStop &);
+
+    // Role.
+    void considerClaim();
+    void claim(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
+    void startControl();
+    void stepDown(const std::string &why);
+    void followerSees(const OwnershipRecord &record, std::uint64_t revision);
+    std::size_t rank() const;
+    bool isEarlierControllerGone(const OwnershipRecord &record) const;
+    void beatIfDue();
+    void confirmIfDue();
+
+    // Ranges. In rangecontrol_ranges.cpp.
+    void driveRanges();
+    void drive(Entry &entry);
+    void sendGrant(Entry &entry);
+    void startRelease(Entry &entry, const std::string &destination);
+    void startLapse(Entry &entry, const std::string &why);
+    void setFree(Entry &entry, std::string handover);
+    void writeIfDue();
+    OwnershipRecord recordToWrite();
+    void applyWritten();
+    void planIfDue();
+    void split(const KeyRange &part);
+    void mergeNeighbours();
+    void initialRanges(const std::vector<RegisteredTarget> &ready);
+    std::vector<RegisteredTarget> readyTargets() const;
+    const RegisteredTarget *findTarget(const std::string &id) const;
+    std::vector<RangeCandidate> candidates() const;
+    std::map<std::string, double> use() const;
+    std::string chooseDestination(const Entry &entry, std::map<std::string, double> &use) const;
+    std::uint64_t nextFence() noexcept { return m_term * fencesPerTerm + ++m_fenceCount; }
+    Duration longestHold() const noexcept;
+    bool hasOpenOrder(const Entry &entry, bool isRelease) const;
+    std::size_t openOrders(const Entry &entry) const;
+    void announceIfChanged();
+    void note(std::uint32_t event, std::string detail);
+
+    /// Grants and releases that a controller may give in one term.
+    static constexpr std::uint64_t fencesPerTerm = 1'000'000;
+
+    std::string m_service;
+    DaemonIdentity m_self;
+    OwnershipTiming m_timing;
+    Time m_now = 0ms;
+    Effects m_effects;
+
+    Role m_role = Role::Follower;
+    std::uint64_t m_term = 0; ///< Highest known.
+    std::string m_controller; ///< Of that term.
+    std::uint64_t m_heardSequence = 0;
+    Time m_heardAt = 0ms; ///< Last beat of the controller.
+    bool m_isControllerLeaving = false;
+    Duration m_controllerStoreAge = 0ms;
+    Time m_nextClaim = 0ms;
+    std::vector<PeerDaemon> m_peers;
+    std::map<std::string, RegisteredTarget> m_targets;
+
+    // Of the controller.
+    OwnershipRecord m_written; ///< As in the store.
+    OwnershipRecord m_pending; ///< In the write under way.
+    std::uint64_t m_revision = 0;
+    std::optional<OwnershipRecord> m_previous; ///< The record that was taken over.
+    bool m_isWriting = false;
+    bool m_isReading = false;
+    Time m_nextStoreCall = 0ms;
+    Time m_confirmedAt = 0ms; ///< The store is known to have named this daemon after this time.
+    Time m_nextBeat = 0ms;
+    Time m_nextPlan = 0ms;
+    Time m_inheritedUntil = 0ms; ///< Leases of earlier controllers have ended by then.
+    std::uint64_t m_fenceCount = 0;
+    std::uint64_t m_nextOrder = 1;
+    std::vector<Entry> m_entries; ///< In order, without gaps; empty before the first assignment.
+    std::map<std::uint64_t, OpenOrder> m_orders;
+    KeyLoad m_load;
+    std::map<std::string, Duration> m_fastest; ///< Latency of each target when it isn't busy.
+    std::uint64_t m_sequence = 0;
+    std::vector<RoutedRange> m_announced;
+};
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/rangeplanner.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <sardinehinge/core/keyrange.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinehinge::core {
+
+/// A target that may own keys.
+struct RangeCandidate
+{
+    std::string id;
+    double capacity = 1; ///< Requests that it can run in a unit of time, relative to the others.
+    std::size_t ranges = 0; ///< Ranges that it owns now.
+
+    bool operator==(const RangeCandidate &) const = default;
+};
+
+/// Keys that should go from one target to another.
+struct RangeMove
+{
+    KeyRange range;
+    std::string from;
+    std::string to;
+
+    bool operator==(const RangeMove &) const = default;
+};
+
+/// Smoothed request rates by key. Keys without requests are not stored.
+class KeyLoad
+{
+public:
+    /// Takes in the requests seen in `span`.
+    void add(const std::map<std::uint32_t, std::uint32_t> &requests) noexcept;
+    /// Lets the past count for less; call once per planning period.
+    void decay(double factor);
+    double of(const KeyRange &range) const noexcept;
+    double total() const noexcept;
+    /// The longest part of `range`, from its first key on (or, with `fromEnd`, up to its last), whose load is at most
+    /// `load`; nothing when already the first key exceeds it or the part would be the whole range.
+    std::optional<KeyRange> part(const KeyRange &range, double load, bool fromEnd) const;
+    /// `range` cut in two of about equal load; one piece when it can't be cut.
+    std::vector<KeyRange> halves(const KeyRange &range) const;
+
+private:
+    std::map<std::uint32_t, double> m_rates;
+};
+
+/// Limits of one planning step.
+struct PlanLimits
+{
+    std::size_t moves = 4; ///< At most this many at a time: each keeps keys away for a moment.
+    double tolerance = 1.2; ///< A target is relieved above this multiple of the mean use.
+    std::size_t rangesPerTarget = 6; ///< A target with more gets no further piece: every range is renewed by itself.
+
+    bool operator==(const PlanLimits &) const = default;
+};
+
+/// The moves that bring every target's load nearer to its capacity's share. Meant for few hot, neighbouring keys: it
+/// takes pieces off the ends of the ranges of the busiest targets and gives them to the least used ones.
+std::vector<RangeMove> planRangeMoves(const std::vector<RoutedRange> &ranges,
+                                      const std::vector<RangeCandidate> &candidates, const KeyLoad &load,
+                                      const PlanLimits &limits = {});
+
+/// The least used candidate after `extra` has been given to it; empty when there is none. `use` is load by target.
+std::string leastUsed(const std::vector<RangeCandidate> &candidates, const std::map<std::string, double> &use,
+                      double extra);
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/targetscore.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <sardinehinge/core/target.h>
+#include <sardinehinge/core/types.h>
+
+#include <cstdint>
+
+namespace sardinehinge::core {
+
+/// What one attempt showed of its target.
+enum class TargetSign {
+    Served, ///< It answered, in the time given beside.
+    Shed, ///< It refused for want of room.
+    Failed, ///< It failed the request, or the connection ended without an answer.
+    Unreachable, ///< No connection could be opened.
+};
+
+/// Weights by which a daemon judges a target from its own requests. Each targets the loads named beside it.
+struct ScoreTiming
+{
+    double gain = 0.2; ///< Weight of a new sample in the smoothed latency (as TCP's estimators use).
+    double failureGain = 0.15; ///< The same for the share of failures: part-time failures.
+    double failureCost = 12; ///< Latency factor of a target that fails every request.
+    double remoteCost = 1.5; ///< Latency factor of another failure domain: bytes between domains are dear.
+    double warmingCost = 2.0; ///< Latency factor of a target that was started a moment ago.
+    Duration forget = std::chrono::seconds(3); ///< Without samples, a judgement halves its distance to the norm.
+    std::uint32_t ejectAfter = 3; ///< Attempts in a row without an answer that take a target out.
+    Duration ejectTime = std::chrono::milliseconds(700); ///< First time out; doubles up to ejectTimeMax.
+    Duration ejectTimeMax = std::chrono::seconds(4);
+    Duration limitPause = std::chrono::milliseconds(100); ///< Least time between two cuts of the limit.
+    double limitMin = 1; ///< So that every daemon goes on seeing the target.
+    double limitMax = 24; ///< The queue of a target; more in flight from one daemon can only be shed.
+
+    bool operator==(const ScoreTiming &) const = default;
+};
+
+/// One daemon's view of one target: how fast it answers, how often it fails, and how many requests it should get from
+/// here at once. The limit follows additive increase and multiplicative decrease (Chiu and Jain, 1989), with latency
+/// beyond the aim and refusals as the signal: daemons share a target's slots without messages.
+class TargetScore
+{
+public:
+    explicit TargetScore(ScoreTiming timing = {});
+
+    void started() noexcept { ++m_inFlight; }
+    /// An attempt ended. `aim`: the latency up to which the target counts as having room.
+    void finished(TargetSign sign, Duration taken, Duration aim, Time now) noexcept;
+    /// An attempt ended that says nothing of the target, such as one whose caller left.
+    void dropped() noexcept;
+
+    bool hasRoom() const noexcept { return static_cast<double>(m_inFlight) < m_limit; }
+    bool isEjected(Time now) const noexcept { return now < m_ejectedUntil; }
+    std::uint32_t inFlight() const noexcept { return m_inFlight; }
+    double limit() const noexcept { return m_limit; }
+    /// Smoothed latency; `fallback` before the first answer.
+    Duration latency(Duration fallback) const noexcept { return m_latency == 0ms ? fallback : m_latency; }
+    /// Expected cost of one more request, in nanoseconds; lower is better. `norm`: latency of an average target.
+    double cost(Duration norm, bool isRemote, bool isWarming, Time now) const noexcept;
+
+private:
+    ScoreTiming m_timing;
+    Duration m_latency = 0ms;
+    double m_failures = 0; ///< Smoothed share of failed attempts, 0 to 1.
+    std::uint32_t m_inFlight = 0;
+    double m_limit = 4;
+    std::uint32_t m_unanswered = 0; ///< In a row.
+    Duration m_nextEjection = 0ms;
+    Time m_ejectedUntil = 0ms;
+    Time m_lastSample = 0ms;
+    Time m_lastCut = 0ms;
+};
+
+} // namespace sardinehinge::core
--- a/packages/daemon/src/controlduty.cpp
+++ b/packages/daemon/src/controlduty.cpp
@@ -2,7 +2,7 @@
 #include "documentprefixes.h"
 
 #include <sardinehinge/core/eventnumbers.h>
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -141,7 +141,7 @@
         auto &revision = m_inForce[confirmed->workspace];
         revision = std::max(revision, confirmed->revision);
         m_events.record(Severity::Info, core::events::documentInForce,
-                        platform::workspaceObject(confirmed->workspace) + " revision " + std::to_string(revision));
+                        edges::workspaceObject(confirmed->workspace) + " revision " + std::to_string(revision));
         return;
     }
     const auto &load = std::get<ServiceLoad>(message);
@@ -158,13 +158,13 @@
 
 void ControlDuty::onPlatform(const ObjectRead &message)
 {
-    const auto *object = std::get_if<platform::StoredObject>(&message.result);
+    const auto *object = std::get_if<edges::StoredObject>(&message.result);
     const core::Error *error = core::errorIn(message.result);
     std::string body;
     if (object != nullptr && object->revision != 0) {
         runDocuments(core::DocumentFromStore{{object->name, object->revision, object->bytes}});
-        const auto envelope = platform::decodeEnvelope(object->bytes);
-        if (const auto *value = std::get_if<platform::StoredEnvelope>(&envelope))
+        const auto envelope = edges::decodeEnvelope(object->bytes);
+        if (const auto *value = std::get_if<edges::StoredEnvelope>(&envelope))
             body = value->body;
     }
     const auto finish = [&](auto event, auto decode, auto member, std::string_view prefix) {
@@ -184,9 +184,9 @@
         runGroup(*group, event);
     };
     if (message.name.starts_with(recordPrefix))
-        finish(core::RecordRead{}, platform::decodeRecord, &core::RecordRead::record, recordPrefix);
+        finish(core::RecordRead{}, edges::decodeRecord, &core::RecordRead::record, recordPrefix);
     else if (message.name.starts_with(assignmentPrefix))
-        finish(core::AssignmentRead{}, platform::decodeAssignment, &core::AssignmentRead::assignment, assignmentPrefix);
+        finish(core::AssignmentRead{}, edges::decodeAssignment, &core::AssignmentRead::assignment, assignmentPrefix);
 }
 
 void ControlDuty::onPlatform(const ObjectWritten &message)
@@ -214,14 +214,14 @@
 {
     m_isInSync = true;
     runDocuments(core::StoreHeard{});
-    for (const platform::StoredObject &object : message.objects)
+    for (const edges::StoredObject &object : message.objects)
         runDocuments(core::DocumentFromStore{{object.name, object.revision, object.bytes}});
 }
 
 void ControlDuty::onPlatform(const ListRead &message)
 {
     runDocuments(core::DocumentFromStore{
-        {platform::instancesDocument, message.view.version, platform::encodeInstances(message.view)}});
+        {edges::instancesDocument, message.view.version, edges::encodeInstances(message.view)}});
 }
 
 void ControlDuty::onPlatform(const PlatformFailed &) { }
@@ -247,7 +247,7 @@
 
 void ControlDuty::documentAdvanced(const core::Document &document)
 {
-    if (document.name == platform::instancesDocument)
+    if (document.name == edges::instancesDocument)
         instancesAdvanced(document);
     else if (document.name.starts_with(workspacePrefix))
         workspaceAdvanced(document);
@@ -259,10 +259,10 @@
 
 void ControlDuty::workspaceAdvanced(const core::Document &document)
 {
-    const auto envelope = platform::decodeEnvelope(document.bytes);
-    const auto *value = std::get_if<platform::StoredEnvelope>(&envelope);
-    const auto decoded = value == nullptr ? platform::WorkspaceDocument(std::vector<std::string>{"no envelope"})
-                                          : platform::decodeWorkspace(value->body);
+    const auto envelope = edges::decodeEnvelope(document.bytes);
+    const auto *value = std::get_if<edges::StoredEnvelope>(&envelope);
+    const auto decoded = value == nullptr ? edges::WorkspaceDocument(std::vector<std::string>{"no envelope"})
+                                          : edges::decodeWorkspace(value->body);
     const auto *spec = std::get_if<core::WorkspaceSpec>(&decoded);
     if (spec == nullptr) {
         // Written past the checks of this version: what is in force stays in force.
@@ -277,23 +277,23 @@
 
 void ControlDuty::recordAdvanced(const core::Document &document)
 {
-    const auto envelope = platform::decodeEnvelope(document.bytes);
-    const auto *value = std::get_if<platform::StoredEnvelope>(&envelope);
+    const auto envelope = edges::decodeEnvelope(document.bytes);
+    const auto *value = std::get_if<edges::StoredEnvelope>(&envelope);
     Group *group = groupOf(without(document.name, recordPrefix));
     if (value == nullptr || group == nullptr)
         return;
-    const auto record = platform::decodeRecord(value->body);
+    const auto record = edges::decodeRecord(value->body);
     if (const auto *typed = std::get_if<core::ControlRecord>(&record))
         runGroup(*group, core::RecordLearnt{*typed, document.revision});
 }
 
 void ControlDuty::assignmentAdvanced(const core::Document &document)
 {
-    const auto envelope = platform::decodeEnvelope(document.bytes);
-    const auto *value = std::get_if<platform::StoredEnvelope>(&envelope);
+    const auto envelope = edges::decodeEnvelope(document.bytes);
+    const auto *value = std::get_if<edges::StoredEnvelope>(&envelope);
     if (value == nullptr)
         return;
-    const auto decoded = platform::decodeAssignment(value->body);
+    const auto decoded = edges::decodeAssignment(value->body);
     const auto *assignment = std::get_if<core::Assignment>(&decoded);
     const std::string name = without(document.name, assignmentPrefix);
     const auto slash = name.find('/');
@@ -306,7 +306,7 @@
 
 void ControlDuty::instancesAdvanced(const core::Document &document)
 {
-    const auto decoded = platform::decodeInstances(document.bytes);
+    const auto decoded = edges::decodeInstances(document.bytes);
     const auto *view = std::get_if<core::InstanceView>(&decoded);
     if (view == nullptr)
         return;
@@ -348,7 +348,7 @@
             runGroup(*group, core::Resigned{});
         runGroup(*group, core::InstancesChanged{m_view});
         // The group's own documents may have come before its workspace.
-        for (const std::string &name : {platform::recordObject(id), platform::assignmentObject(id)}) {
+        for (const std::string &name : {edges::recordObject(id), edges::assignmentObject(id)}) {
             if (const core::Document *document = m_documents.find(name))
                 documentAdvanced(core::Document(*document));
         }
@@ -382,13 +382,13 @@
     if (const auto *send = std::get_if<core::SendPeer>(&effect)) {
         sendPeer(send->to, send->message);
     } else if (std::holds_alternative<core::ReadRecord>(effect)) {
-        m_outlets.toPlatform(ReadObject{platform::recordObject(group.service)});
+        m_outlets.toPlatform(ReadObject{edges::recordObject(group.service)});
     } else if (std::holds_alternative<core::ReadAssignment>(effect)) {
-        m_outlets.toPlatform(ReadObject{platform::assignmentObject(group.service)});
+        m_outlets.toPlatform(ReadObject{edges::assignmentObject(group.service)});
     } else if (const auto *record = std::get_if<core::WriteRecord>(&effect)) {
-        writeForGroup(group.service, true, platform::encodeRecord(record->record), record->expectedRevision);
+        writeForGroup(group.service, true, edges::encodeRecord(record->record), record->expectedRevision);
     } else if (const auto *assignment = std::get_if<core::WriteAssignment>(&effect)) {
-        writeForGroup(group.service, false, platform::encodeAssignment(assignment->assignment),
+        writeForGroup(group.service, false, edges::encodeAssignment(assignment->assignment),
                       assignment->expectedRevision);
     } else if (const auto *order = std::get_if<core::OrderTarget>(&effect)) {
         m_outlets.toOrders(OutgoingOrder{group.service, *order});
@@ -402,7 +402,7 @@
 {
     const std::string attempt = newAttempt();
     m_groupWrites[attempt] = GroupWrite{service, isRecord};
-    const std::string name = isRecord ? platform::recordObject(service) : platform::assignmentObject(service);
+    const std::string name = isRecord ? edges::recordObject(service) : edges::assignmentObject(service);
     m_outlets.toPlatform(WriteObject{name, body, m_self.id, attempt, expected});
 }
 
@@ -436,9 +436,9 @@
     next->isWatching = m_documents.isWatching();
     next->storeAge = m_documents.storeAge(now);
     for (const auto &[name, spec] : m_workspaces) {
-        const core::Document *document = m_documents.find(platform::workspaceObject(name));
+        const core::Document *document = m_documents.find(edges::workspaceObject(name));
         next->workspaces[name]
-            = {spec, document == nullptr ? 0 : document->revision, revisionInForce(platform::workspaceObject(name))};
+            = {spec, document == nullptr ? 0 : document->revision, revisionInForce(edges::workspaceObject(name))};
     }
     for (const auto &[name, group] : m_groups) {
         const core::ControlGroup &logic = group->logic;
--- a/packages/daemon/src/controlduty_operators.cpp
+++ b/packages/daemon/src/controlduty_operators.cpp
@@ -2,7 +2,7 @@
 #include "documentprefixes.h"
 
 #include <sardinehinge/core/eventnumbers.h>
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <algorithm>
 
@@ -38,8 +38,8 @@
     operation.isFinished = true;
     operation.revision = message.outcome.revision;
     if (message.outcome.kind == Kind::Conflict) {
-        const auto envelope = platform::decodeEnvelope(message.object.bytes);
-        if (const auto *value = std::get_if<platform::StoredEnvelope>(&envelope))
+        const auto envelope = edges::decodeEnvelope(message.object.bytes);
+        if (const auto *value = std::get_if<edges::StoredEnvelope>(&envelope))
             operation.winner = value->author;
         operation.error = core::Error{core::ErrorCode::RevisionConflict,
                                       "store write",
@@ -65,9 +65,9 @@
         operation.error = *error;
         return m_operations.set(message.operation, std::move(operation));
     }
-    for (const platform::StoredObject &object : std::get<std::vector<platform::StoredObject>>(message.result)) {
-        const auto envelope = platform::decodeEnvelope(object.bytes);
-        if (const auto *value = std::get_if<platform::StoredEnvelope>(&envelope))
+    for (const edges::StoredObject &object : std::get<std::vector<edges::StoredObject>>(message.result)) {
+        const auto envelope = edges::decodeEnvelope(object.bytes);
+        if (const auto *value = std::get_if<edges::StoredEnvelope>(&envelope))
             operation.history.push_back({object.revision, value->author, value->attempt});
     }
     m_operations.set(message.operation, std::move(operation));
@@ -92,8 +92,8 @@
         return m_operations.set(command.operation, std::move(operation));
     }
     m_operatorWrites[command.operation] = command.spec.name;
-    m_outlets.toPlatform(WriteObject{platform::workspaceObject(command.spec.name),
-                                     platform::encodeWorkspace(command.spec), command.author, command.operation,
+    m_outlets.toPlatform(WriteObject{edges::workspaceObject(command.spec.name),
+                                     edges::encodeWorkspace(command.spec), command.author, command.operation,
                                      command.expectedRevision});
 }
 
--- a/packages/daemon/src/dutymessages.h
+++ b/packages/daemon/src/dutymessages.h
@@ -4,7 +4,7 @@
 #include <sardinehinge/core/documents.h>
 #include <sardinehinge/core/requestrouter.h>
 #include <sardinehinge/http/message.h>
-#include <sardinehinge/platform/objectstore.h>
+#include <sardinehinge/edges/objectstore.h>
 #include <sardinehinge/protocol/peercodec.h>
 
 #include <cstdint>
@@ -141,25 +141,25 @@
 struct ObjectRead
 {
     std::string name;
-    core::Result<platform::StoredObject> result;
+    core::Result<edges::StoredObject> result;
 };
 
 struct ObjectWritten
 {
     std::string attempt;
     core::WriteOutcome outcome;
-    platform::StoredObject object;
+    edges::StoredObject object;
 };
 
 struct VersionsRead
 {
     std::string operation;
-    core::Result<std::vector<platform::StoredObject>> result;
+    core::Result<std::vector<edges::StoredObject>> result;
 };
 
 struct ObjectsWatched
 {
-    std::vector<platform::StoredObject> objects;
+    std::vector<edges::StoredObject> objects;
 };
 
 struct ListRead
--- a/packages/daemon/src/operatorserver.cpp
+++ b/packages/daemon/src/operatorserver.cpp
@@ -2,7 +2,7 @@
 
 #include "statusjson.h"
 
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <QHostAddress>
 #include <QHttpServerResponse>
@@ -134,7 +134,7 @@
     const auto expected = QString::fromStdString(queryText(request, "expect")).toULongLong(&hasRevision);
     if (!hasRevision)
         return failure(Status::BadRequest, {core::ErrorCode::BadRequest, "read", {}, "expect: must be a revision"});
-    const auto document = platform::decodeWorkspace(request.body().toStdString());
+    const auto document = edges::decodeWorkspace(request.body().toStdString());
     if (const auto *faults = std::get_if<std::vector<std::string>>(&document)) {
         QJsonArray lines;
         for (const std::string &fault : *faults)
--- a/packages/daemon/src/orderduty.cpp
+++ b/packages/daemon/src/orderduty.cpp
@@ -34,7 +34,7 @@
         return;
     }
     const auto done = [this, service = outgoing.service, target = order.target,
-                       sequence = order.order.sequence](const platform::OrderEnd &end) {
+                       sequence = order.order.sequence](const edges::OrderEnd &end) {
         m_metrics.orderBytes.Increment(static_cast<double>(end.bytes));
         m_report({service, target, sequence, end.report, end.refused});
     };
--- a/packages/daemon/src/orderduty.h
+++ b/packages/daemon/src/orderduty.h
@@ -6,7 +6,7 @@
 #include <sardinehinge/daemon/ring.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/http/client.h>
-#include <sardinehinge/platform/httpadapters.h>
+#include <sardinehinge/edges/httpadapters.h>
 
 namespace sardinehinge::daemon {
 
@@ -32,7 +32,7 @@
     std::function<bool(OrderOutcome)> m_report;
     Worker m_worker{"orders"};
     http::Client m_client;
-    platform::HttpTargetControl m_control;
+    edges::HttpTargetControl m_control;
     Ring<OutgoingOrder> m_orders;
 };
 
--- a/packages/daemon/src/platformduty.cpp
+++ b/packages/daemon/src/platformduty.cpp
@@ -84,9 +84,9 @@
 void PlatformDuty::begin()
 {
     m_threadHandle.store(pthread_self());
-    m_store = std::make_unique<platform::HttpObjectStore>(m_url);
-    m_list = std::make_unique<platform::HttpInstanceList>(m_url);
-    m_documents = std::make_unique<platform::DocumentStore>(*m_store, [this](const std::string &name) {
+    m_store = std::make_unique<edges::HttpObjectStore>(m_url);
+    m_list = std::make_unique<edges::HttpInstanceList>(m_url);
+    m_documents = std::make_unique<edges::DocumentStore>(*m_store, [this](const std::string &name) {
         m_events.record(Severity::Warning, core::events::writeAnswerLost, name);
     });
     watchList(); // Once for every daemon: without the list it knows no peer.
@@ -95,8 +95,8 @@
 void PlatformDuty::take(const ReadObject &request)
 {
     m_metrics.storeReads.Increment();
-    m_store->read(request.name, [this, name = request.name](core::Result<platform::StoredObject> result) {
-        if (const auto *object = std::get_if<platform::StoredObject>(&result))
+    m_store->read(request.name, [this, name = request.name](core::Result<edges::StoredObject> result) {
+        if (const auto *object = std::get_if<edges::StoredObject>(&result))
             m_documents->observe(*object);
         report(ObjectRead{name, std::move(result)});
     });
@@ -107,7 +107,7 @@
     m_metrics.storeWrites.Increment();
     m_documents->write(
         request.name, request.body, request.author, request.attempt, request.expectedRevision,
-        [this, attempt = request.attempt](const core::WriteOutcome &outcome, const platform::StoredObject &object) {
+        [this, attempt = request.attempt](const core::WriteOutcome &outcome, const edges::StoredObject &object) {
             report(ObjectWritten{attempt, outcome, object});
         });
 }
@@ -116,7 +116,7 @@
 {
     m_metrics.storeReads.Increment();
     m_store->versions(request.name,
-                      [this, operation = request.operation](core::Result<std::vector<platform::StoredObject>> result) {
+                      [this, operation = request.operation](core::Result<std::vector<edges::StoredObject>> result) {
                           report(VersionsRead{operation, std::move(result)});
                       });
 }
@@ -138,7 +138,7 @@
         return;
     m_isStoreWatchOut = true;
     m_metrics.storeWatches.Increment();
-    m_store->watch(m_watchedUpTo, storeWatchWait, [this](core::Result<platform::WatchReply> result) {
+    m_store->watch(m_watchedUpTo, storeWatchWait, [this](core::Result<edges::WatchReply> result) {
         m_isStoreWatchOut = false;
         if (const core::Error *error = core::errorIn(result)) {
             noteStore(false, error->detail);
@@ -148,10 +148,10 @@
         }
         m_storeBackoff = {};
         noteStore(true, {});
-        auto &reply = std::get<platform::WatchReply>(result);
+        auto &reply = std::get<edges::WatchReply>(result);
         // A replica that lags may answer with an earlier point; going back would only repeat what is known.
         m_watchedUpTo = std::max(m_watchedUpTo, reply.upTo);
-        for (const platform::StoredObject &object : reply.objects)
+        for (const edges::StoredObject &object : reply.objects)
             m_documents->observe(object);
         report(ObjectsWatched{std::move(reply.objects)});
         QMetaObject::invokeMethod(
--- a/packages/daemon/src/platformduty.h
+++ b/packages/daemon/src/platformduty.h
@@ -5,8 +5,8 @@
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
-#include <sardinehinge/platform/documentstore.h>
-#include <sardinehinge/platform/httpadapters.h>
+#include <sardinehinge/edges/documentstore.h>
+#include <sardinehinge/edges/httpadapters.h>
 
 #include <QObject>
 #include <QThread>
@@ -59,9 +59,9 @@
     std::function<bool(FromPlatform)> m_report;
     QThread m_thread;
     std::atomic<pthread_t> m_threadHandle{};
-    std::unique_ptr<platform::HttpObjectStore> m_store;
-    std::unique_ptr<platform::HttpInstanceList> m_list;
-    std::unique_ptr<platform::DocumentStore> m_documents;
+    std::unique_ptr<edges::HttpObjectStore> m_store;
+    std::unique_ptr<edges::HttpInstanceList> m_list;
+    std::unique_ptr<edges::DocumentStore> m_documents;
     Ring<ToPlatform> m_requests;
     bool m_isWatching = false;
     bool m_isStoreWatchOut = false;
--- a/packages/daemon/src/routingduty.cpp
+++ b/packages/daemon/src/routingduty.cpp
@@ -4,7 +4,7 @@
 
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/sharding.h>
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -132,7 +132,7 @@
     const auto fault = readHead(request.message, head);
     Exchange exchange;
     exchange.id = request.exchange;
-    exchange.requestId = http::headerValue(request.message.headers, platform::requestIdHeader)
+    exchange.requestId = http::headerValue(request.message.headers, edges::requestIdHeader)
                              .value_or(m_self.id + "-" + std::to_string(m_nextPart));
     exchange.service = head.service;
     exchange.arrived = bootTime();
@@ -177,7 +177,7 @@
     if (head.key && head.key->empty())
         return core::Error{core::ErrorCode::MissingKey, "route", message.peer, "the key must not be empty"};
     head.caller = callerOf(message);
-    if (const auto timeout = http::headerValue(message.headers, platform::deadlineHeader)) {
+    if (const auto timeout = http::headerValue(message.headers, edges::deadlineHeader)) {
         std::int64_t milliseconds = 0;
         const char *end = timeout->data() + timeout->size();
         const auto [parsed, error] = std::from_chars(timeout->data(), end, milliseconds);
@@ -254,7 +254,7 @@
     if (exchange == m_exchanges.end())
         return;
     const http::Request &original = *exchange->second.message;
-    platform::TargetRequest request;
+    edges::TargetRequest request;
     request.address = effect.address;
     request.requestId = exchange->second.requestId;
     request.isKeyed = effect.isKeyed;
@@ -263,7 +263,7 @@
     request.timeout = std::max<core::Duration>(effect.deadline - bootTime(), std::chrono::milliseconds(1));
     request.message
         = http::Request{original.method, original.target, forwardedHeaders(original.headers), original.body, {}};
-    part->second.traffic[effect.attempt] = m_traffic.send(request, [this, effect](platform::TargetAnswer answer) {
+    part->second.traffic[effect.attempt] = m_traffic.send(request, [this, effect](edges::TargetAnswer answer) {
         if (const auto found = m_parts.find(effect.id); found != m_parts.end())
             found->second.answer = std::move(answer.response); // Passed on only if this attempt is the one that counts.
         run(core::AttemptFinished{effect.id, effect.attempt, answer.end});
@@ -343,7 +343,7 @@
     m_metrics.requestSeconds.Observe(std::chrono::duration<double>(bootTime() - exchange.arrived).count());
     http::Response response = exchange.isRangeRead ? joinParts(exchange) : std::move(exchange.answers.begin()->second);
     response.headers = forwardedHeaders(response.headers);
-    response.headers.emplace_back(platform::requestIdHeader, exchange.requestId);
+    response.headers.emplace_back(edges::requestIdHeader, exchange.requestId);
     finishExchange(exchange, std::move(response));
 }
 
--- a/packages/daemon/src/routingduty.h
+++ b/packages/daemon/src/routingduty.h
@@ -9,7 +9,7 @@
 #include <sardinehinge/daemon/ring.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/http/client.h>
-#include <sardinehinge/platform/httpadapters.h>
+#include <sardinehinge/edges/httpadapters.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -54,7 +54,7 @@
     {
         std::uint64_t exchange = 0;
         std::uint32_t shard = 0;
-        std::map<std::uint32_t, platform::TargetTraffic::AttemptId> traffic; ///< By attempt.
+        std::map<std::uint32_t, edges::TargetTraffic::AttemptId> traffic; ///< By attempt.
         http::Response answer; ///< Of the latest attempt.
     };
 
@@ -90,7 +90,7 @@
     Worker m_worker{"routing"};
     boost::asio::steady_timer m_timer;
     http::Client m_client;
-    platform::HttpTargetTraffic m_traffic;
+    edges::HttpTargetTraffic m_traffic;
     core::RequestRouter m_router;
     core::SlotAllocator m_allocator;
     Ring<ToRouting> m_requests;
--- a/packages/daemon/src/statusjson.cpp
+++ b/packages/daemon/src/statusjson.cpp
@@ -1,6 +1,6 @@
 #include "statusjson.h"
 
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -92,7 +92,7 @@
 
 QJsonObject workspaceJson(const WorkspaceStatus &workspace)
 {
-    const std::string document = platform::encodeWorkspace(workspace.spec);
+    const std::string document = edges::encodeWorkspace(workspace.spec);
     return {{"revision", whole(workspace.revision)},
             {"inForce", whole(workspace.inForce)},
             {"document", QJsonDocument::fromJson(QByteArray::fromStdString(document)).object()}};
--- a/packages/platform/include/sardinehinge/platform/documentcodec.h
+++ b/packages/edges/include/sardinehinge/edges/documentcodec.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// The frame around every object that the system stores: who wrote it, and the attempts that led to it.
 struct StoredEnvelope
@@ -47,4 +47,4 @@
 /// The document that carries the instance list among the daemons; it isn't in the store.
 constexpr const char *instancesDocument = "instances";
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/documentstore.h
+++ b/packages/edges/include/sardinehinge/edges/documentstore.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include <sardinehinge/core/conditionalwrite.h>
-#include <sardinehinge/platform/documentcodec.h>
-#include <sardinehinge/platform/objectstore.h>
+#include <sardinehinge/edges/documentcodec.h>
+#include <sardinehinge/edges/objectstore.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// Conditional writes of enveloped documents, carried to a certain end by core::ConditionalWrite.
 ///
@@ -43,4 +43,4 @@
     std::map<std::string, core::StoredState> m_states;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/httpadapters.h
+++ b/packages/edges/include/sardinehinge/edges/httpadapters.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include <sardinehinge/http/client.h>
-#include <sardinehinge/platform/instancelist.h>
-#include <sardinehinge/platform/objectstore.h>
-#include <sardinehinge/platform/targetcontrol.h>
-#include <sardinehinge/platform/targettraffic.h>
+#include <sardinehinge/edges/instancelist.h>
+#include <sardinehinge/edges/objectstore.h>
+#include <sardinehinge/edges/targetcontrol.h>
+#include <sardinehinge/edges/targettraffic.h>
 
 #include <QNetworkAccessManager>
 #include <QUrl>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// Longest wait for an answer of the platform beyond the time that a call asks it to wait.
 constexpr core::Duration platformTimeout = std::chrono::milliseconds(1500);
@@ -73,4 +73,4 @@
     http::Client &m_client;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/instancelist.h
+++ b/packages/edges/include/sardinehinge/edges/instancelist.h
@@ -5,7 +5,7 @@
 
 #include <functional>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// The platform's list of live and leaving instances. It lags.
 class InstanceList
@@ -20,4 +20,4 @@
     virtual void read(std::uint64_t afterVersion, core::Duration wait, Callback done) = 0;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/objectstore.h
+++ b/packages/edges/include/sardinehinge/edges/objectstore.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// An object as the store holds it. Revisions rise over all objects of the store, one for each change.
 struct StoredObject
@@ -67,4 +67,4 @@
     virtual void versions(const std::string &name, Callback<core::Result<std::vector<StoredObject>>> done) = 0;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/ownershipcodec.h
+++ b/packages/edges/include/sardinehinge/edges/ownershipcodec.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// Orders and reports as JSON, the form in which targets take them: see docs/API.md.
 std::string encodeOrder(const core::TargetOrder &order);
@@ -26,4 +26,4 @@
 /// Where targets take orders.
 constexpr const char *orderPath = "/sardinehinge/order";
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/targetcontrol.h
+++ b/packages/edges/include/sardinehinge/edges/targetcontrol.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// What came of an order: the target's report, or none. `refused`: its host said that no process listens.
 struct OrderEnd
@@ -31,4 +31,4 @@
         = 0;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/include/sardinehinge/platform/targettraffic.h
+++ b/packages/edges/include/sardinehinge/edges/targettraffic.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// A request on its way to a target.
 struct TargetRequest
@@ -48,4 +48,4 @@
     virtual std::size_t connections() const = 0;
 };
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/documentcodec.cpp
+++ b/packages/edges/src/documentcodec.cpp
@@ -1,10 +1,10 @@
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include "jsonreader.h"
 
 #include <QJsonDocument>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 using internal::decodeError;
 using internal::JsonReader;
@@ -298,4 +298,4 @@
     return "assignments/" + toString(service);
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/documentstore.cpp
+++ b/packages/edges/src/documentstore.cpp
@@ -1,8 +1,8 @@
-#include <sardinehinge/platform/documentstore.h>
+#include <sardinehinge/edges/documentstore.h>
 
 #include <utility>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 /// One write on its way to a certain end.
 struct DocumentStore::Pending
@@ -124,4 +124,4 @@
     });
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/httpinstancelist.cpp
+++ b/packages/edges/src/httpinstancelist.cpp
@@ -1,11 +1,11 @@
-#include <sardinehinge/platform/documentcodec.h>
-#include <sardinehinge/platform/httpadapters.h>
+#include <sardinehinge/edges/documentcodec.h>
+#include <sardinehinge/edges/httpadapters.h>
 
 #include "replies.h"
 
 #include <QUrlQuery>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 HttpInstanceList::HttpInstanceList(QUrl base)
     : m_base(std::move(base))
@@ -29,4 +29,4 @@
     });
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/httpobjectstore.cpp
+++ b/packages/edges/src/httpobjectstore.cpp
@@ -1,4 +1,4 @@
-#include <sardinehinge/platform/httpadapters.h>
+#include <sardinehinge/edges/httpadapters.h>
 
 #include "replies.h"
 
@@ -7,7 +7,7 @@
 #include <QJsonObject>
 #include <QUrlQuery>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 using internal::platformError;
 using internal::PlatformReply;
@@ -111,4 +111,4 @@
     });
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/httptargetcontrol.cpp
+++ b/packages/edges/src/httptargetcontrol.cpp
@@ -1,7 +1,7 @@
-#include <sardinehinge/platform/httpadapters.h>
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/httpadapters.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 namespace {
 
@@ -41,4 +41,4 @@
     });
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/httptargettraffic.cpp
+++ b/packages/edges/src/httptargettraffic.cpp
@@ -1,7 +1,7 @@
-#include <sardinehinge/platform/httpadapters.h>
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/httpadapters.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 namespace {
 
@@ -74,4 +74,4 @@
     return m_client.connections();
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/jsonreader.cpp
+++ b/packages/edges/src/jsonreader.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace sardinehinge::platform::internal {
+namespace sardinehinge::edges::internal {
 
 namespace {
 
@@ -138,4 +138,4 @@
     return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
 }
 
-} // namespace sardinehinge::platform::internal
+} // namespace sardinehinge::edges::internal
--- a/packages/platform/src/jsonreader.h
+++ b/packages/edges/src/jsonreader.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace sardinehinge::platform::internal {
+namespace sardinehinge::edges::internal {
 
 /// Reads the fields of one JSON object and collects what is wrong with them, each with its path.
 class JsonReader
@@ -49,4 +49,4 @@
 
 std::string toText(const QJsonObject &object);
 
-} // namespace sardinehinge::platform::internal
+} // namespace sardinehinge::edges::internal
--- a/packages/platform/src/ownershipcodec.cpp
+++ b/packages/edges/src/ownershipcodec.cpp
@@ -1,8 +1,8 @@
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include "jsonreader.h"
 
-namespace sardinehinge::platform {
+namespace sardinehinge::edges {
 
 using internal::decodeError;
 using internal::JsonReader;
@@ -101,4 +101,4 @@
     return report;
 }
 
-} // namespace sardinehinge::platform
+} // namespace sardinehinge::edges
--- a/packages/platform/src/replies.h
+++ b/packages/edges/src/replies.h
@@ -10,7 +10,7 @@
 
 #include <functional>
 
-namespace sardinehinge::platform::internal {
+namespace sardinehinge::edges::internal {
 
 /// A finished answer of the platform.
 struct PlatformReply
@@ -49,4 +49,4 @@
     return {core::ErrorCode::StoreUnavailable, step, base.authority().toStdString(), detail};
 }
 
-} // namespace sardinehinge::platform::internal
+} // namespace sardinehinge::edges::internal
--- a/packages/platform/tests/documentcodec_test.cpp
+++ b/packages/edges/tests/documentcodec_test.cpp
@@ -1,13 +1,13 @@
-#include <sardinehinge/platform/documentcodec.h>
-#include <sardinehinge/platform/documentstore.h>
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
+#include <sardinehinge/edges/documentstore.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include <catch2/catch.hpp>
 
 #include <deque>
 
 using namespace sardinehinge;
-using namespace sardinehinge::platform;
+using namespace sardinehinge::edges;
 
 TEST_CASE("Documents survive encoding")
 {
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -1,7 +1,7 @@
 #include "platformstate.h"
 #include "standinserver.h"
 
-#include <sardinehinge/platform/documentcodec.h>
+#include <sardinehinge/edges/documentcodec.h>
 
 #include <QJsonArray>
 
@@ -17,17 +17,17 @@
 constexpr std::string_view versionsPath = "/versions/";
 constexpr std::string_view instancesPath = "/standin/instances/";
 
-QJsonObject objectJson(const platform::StoredObject &object)
+QJsonObject objectJson(const edges::StoredObject &object)
 {
     return {{"name", QString::fromStdString(object.name)},
             {"revision", static_cast<qint64>(object.revision)},
             {"bytes", QString::fromStdString(object.bytes)}};
 }
 
-QJsonArray objectsJson(const std::vector<platform::StoredObject> &objects)
+QJsonArray objectsJson(const std::vector<edges::StoredObject> &objects)
 {
     QJsonArray array;
-    for (const platform::StoredObject &object : objects)
+    for (const edges::StoredObject &object : objects)
         array.append(objectJson(object));
     return array;
 }
@@ -136,7 +136,7 @@
             const auto view = m_state.instances(now, std::chrono::milliseconds(m_faults.listLagMs));
             if (view.version <= waiting.after && now < waiting.until)
                 return false;
-            waiting.responder->send({200, {{"Content-Type", "application/json"}}, platform::encodeInstances(view)});
+            waiting.responder->send({200, {{"Content-Type", "application/json"}}, edges::encodeInstances(view)});
             return true;
         }
         const auto changed = m_state.changedAfter(waiting.after);
--- a/standins/platformstate.cpp
+++ b/standins/platformstate.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-std::optional<platform::StoredObject> PlatformState::read(const std::string &name, bool isStale) const
+std::optional<edges::StoredObject> PlatformState::read(const std::string &name, bool isStale) const
 {
     const auto found = m_objects.find(name);
     if (found == m_objects.end())
@@ -38,9 +38,9 @@
     return m_revision;
 }
 
-std::vector<platform::StoredObject> PlatformState::changedAfter(std::uint64_t revision) const
+std::vector<edges::StoredObject> PlatformState::changedAfter(std::uint64_t revision) const
 {
-    std::vector<platform::StoredObject> changed;
+    std::vector<edges::StoredObject> changed;
     for (const auto &[name, all] : m_objects) {
         if (all.back().revision > revision)
             changed.push_back(all.back());
@@ -49,7 +49,7 @@
     return changed;
 }
 
-std::vector<platform::StoredObject> PlatformState::versions(const std::string &name) const
+std::vector<edges::StoredObject> PlatformState::versions(const std::string &name) const
 {
     const auto found = m_objects.find(name);
     if (found == m_objects.end())
--- a/standins/platformstate.h
+++ b/standins/platformstate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <sardinehinge/core/types.h>
-#include <sardinehinge/platform/objectstore.h>
+#include <sardinehinge/edges/objectstore.h>
 
 #include <cstdint>
 #include <deque>
@@ -27,11 +27,11 @@
 {
 public:
     /// The object; nothing when it doesn't exist.
-    std::optional<platform::StoredObject> read(const std::string &name, bool isStale) const;
+    std::optional<edges::StoredObject> read(const std::string &name, bool isStale) const;
     /// The new revision, or nothing when the condition doesn't hold.
     std::optional<std::uint64_t> write(const std::string &name, const std::string &bytes, std::uint64_t expected);
-    std::vector<platform::StoredObject> changedAfter(std::uint64_t revision) const;
-    std::vector<platform::StoredObject> versions(const std::string &name) const;
+    std::vector<edges::StoredObject> changedAfter(std::uint64_t revision) const;
+    std::vector<edges::StoredObject> versions(const std::string &name) const;
     std::uint64_t revision() const noexcept { return m_revision; }
 
     void putInstance(const core::Instance &instance, core::Time now);
@@ -43,7 +43,7 @@
     void keepView(core::Time now);
 
     std::uint64_t m_revision = 0;
-    std::map<std::string, std::vector<platform::StoredObject>> m_objects; ///< Versions, oldest first.
+    std::map<std::string, std::vector<edges::StoredObject>> m_objects; ///< Versions, oldest first.
     std::map<std::string, core::Instance> m_instances;
     std::deque<std::pair<core::Time, core::InstanceView>> m_views; ///< By the time they came into force.
     std::uint64_t m_listVersion = 0;
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -1,7 +1,7 @@
 #include "grantbook.h"
 #include "standinserver.h"
 
-#include <sardinehinge/platform/ownershipcodec.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include <popt.h>
 
@@ -49,7 +49,7 @@
     void handle(std::uint64_t, http::Request request, std::shared_ptr<http::Responder> responder) override
     {
         const std::string path(http::pathOf(request.target));
-        if (path == platform::orderPath)
+        if (path == edges::orderPath)
             return responder->send(takeOrder(request));
         if (path == "/standin/faults")
             return responder->send(changeFaults(bodyOf(request)));
@@ -79,11 +79,11 @@
 
     http::Response takeOrder(const http::Request &request)
     {
-        const auto order = platform::decodeOrder(request.body);
+        const auto order = edges::decodeOrder(request.body);
         if (const core::Error *error = core::errorIn(order))
             return jsonResponse({{"error", QString::fromStdString(error->detail)}}, 400);
         const auto report = m_grants.handle(std::get<core::TargetOrder>(order), bootTime().count());
-        return {200, {{"Content-Type", "application/json"}}, platform::encodeReport(report)};
+        return {200, {{"Content-Type", "application/json"}}, edges::encodeReport(report)};
     }
 
     http::Response changeFaults(const QJsonObject &body)
@@ -98,7 +98,7 @@
     static http::Response notStarted(const char *reason)
     {
         http::Response response = jsonResponse({{"notStarted", reason}}, 503);
-        response.headers.emplace_back(platform::notStartedHeader, reason);
+        response.headers.emplace_back(edges::notStartedHeader, reason);
         return response;
     }
 
@@ -111,10 +111,10 @@
         if (m_running >= m_options.slots)
             return responder->send(notStarted("overloaded"));
         Work work{std::move(request), std::move(responder), {}, {}, {}, bootTime()};
-        work.requestId = http::headerValue(work.request.headers, platform::requestIdHeader).value_or("");
-        work.group = http::headerValue(work.request.headers, platform::groupHeader).value_or("");
-        work.shard = {static_cast<std::uint32_t>(number(work.request, platform::shardHeader)),
-                      number(work.request, platform::epochHeader)};
+        work.requestId = http::headerValue(work.request.headers, edges::requestIdHeader).value_or("");
+        work.group = http::headerValue(work.request.headers, edges::groupHeader).value_or("");
+        work.shard = {static_cast<std::uint32_t>(number(work.request, edges::shardHeader)),
+                      number(work.request, edges::epochHeader)};
         if (!work.group.empty() && !m_grants.mayStart(work.group, work.shard, bootTime().count()))
             return work.responder->send(notStarted("not-owner"));
         if (!work.group.empty())
@@ -143,7 +143,7 @@
                                                 {"path", QString::fromStdString(work.request.target)}});
         if (!stillHeld) {
             response.status = 503;
-            response.headers.emplace_back(platform::leaseLostHeader, "1");
+            response.headers.emplace_back(edges::leaseLostHeader, "1");
         }
         const bool isClosed = takeOne(m_faults.closeAfterWork);
         const bool isTruncated = takeOne(m_faults.truncate);
