--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -34,6 +34,31 @@
 constexpr std::uint32_t daemonStopped = 402;
 constexpr std::uint32_t peerMessageRefused = 404;
 
+// 600-699: the gateway.
+constexpr std::uint32_t gatewayConfigInForce = 600;
+constexpr std::uint32_t gatewayConfigRefused = 601;
+constexpr std::uint32_t targetRegistered = 602;
+constexpr std::uint32_t targetDraining = 603;
+constexpr std::uint32_t targetGone = 604;
+constexpr std::uint32_t targetEntryRefused = 605;
+constexpr std::uint32_t platformLost = 606;
+constexpr std::uint32_t platformBack = 607;
+constexpr std::uint32_t settingsReloaded = 608;
+constexpr std::uint32_t linesLeftOut = 609;
+constexpr std::uint32_t rangeControlClaimed = 610;
+constexpr std::uint32_t rangeControlStarted = 611;
+constexpr std::uint32_t rangeControlEnded = 612;
+constexpr std::uint32_t rangeGranted = 613;
+constexpr std::uint32_t rangeReleasing = 614;
+constexpr std::uint32_t rangeLapsing = 615;
+constexpr std::uint32_t rangeFree = 616;
+constexpr std::uint32_t rangesRecorded = 617;
+constexpr std::uint32_t keyRefused = 618;
+constexpr std::uint32_t ownersAnnounced = 619;
+constexpr std::uint32_t gatewayRequestEnded = 620;
+constexpr std::uint32_t gatewayAttemptEnded = 621;
+constexpr std::uint32_t peerJoined = 622;
+
 // 500-599: operators.
 constexpr std::uint32_t workspaceApplied = 500;
 constexpr std::uint32_t workspaceApplyRefused = 501;
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -31,6 +31,9 @@
     Duration storeSilence = std::chrono::milliseconds(2500); ///< A controller that hears nothing from the store for so
                                                              ///< long should be replaced by one that does.
     Duration storeRetry = std::chrono::milliseconds(400); ///< Between two tries of a failed call to the store.
+    Duration writeTimeout = std::chrono::milliseconds(2500); ///< Then a write is read back; the slowest answers that the
+                                                             ///< users list take 240 ms.
+    Duration avoidTime = std::chrono::seconds(3); ///< A lost target gets no ranges for this long.
     Duration planEvery = std::chrono::milliseconds(500);
     double loadMemory = 0.75; ///< Part of the key load that is kept from one planning period to the next.
 
@@ -225,15 +228,19 @@
     struct Entry
     {
         OwnedRange owned;
+        std::uint64_t firstFence = 0; ///< Of the first grant to this life of the owner; later ones renew it.
+        bool needsFence = false; ///< An order was lost: another life may answer the next one.
         Phase phase = Phase::Free;
         bool isInherited = false; ///< Recorded by an earlier controller, not confirmed yet.
         Time mayHoldUntil = 0ms; ///< The owner's lease has ended by then.
         Time nextOrder = 0ms;
+        Time lastOrder = 0ms;
         Time unansweredSince = 0ms; ///< 0: the last order was answered.
         Time releaseEnd = 0ms;
-        std::string handover;
-        std::string destination;
-        std::uint32_t refusedConnections = 0;
+        std::string handover; ///< From the last holder, for the next.
+        std::string destination; ///< Who gets the range next; empty: to be chosen.
+        bool isBeingWritten = false; ///< The write under way records it for `destination`.
+        std::uint32_t refusedConnections = 0; ///< In a row.
     };
 
     struct OpenOrder
@@ -242,6 +249,7 @@
         TargetLife target;
         KeyRange range;
         std::uint64_t fence = 0;
+        Time holdBefore = 0ms; ///< The entry's bound before this order, for one that never left.
     };
 
     void on(const ControlTick &);
@@ -277,8 +285,12 @@
     void startLapse(Entry &entry, const std::string &why);
     void setFree(Entry &entry, std::string handover);
     void writeIfDue();
+    void chooseDestinations();
     OwnershipRecord recordToWrite();
     void applyWritten();
+    void adoptLaterLife(Entry &entry, const RegisteredTarget &target);
+    void finishGrant(Entry &entry, const OpenOrder &order, OrderEndKind end);
+    void finishRelease(Entry &entry, const OrderEnded &event);
     void planIfDue();
     void split(const KeyRange &part);
     void mergeNeighbours();
@@ -287,11 +299,10 @@
     const RegisteredTarget *findTarget(const std::string &id) const;
     std::vector<RangeCandidate> candidates() const;
     std::map<std::string, double> use() const;
-    std::string chooseDestination(const Entry &entry, std::map<std::string, double> &use) const;
     std::uint64_t nextFence() noexcept { return m_term * fencesPerTerm + ++m_fenceCount; }
     Duration longestHold() const noexcept;
-    bool hasOpenOrder(const Entry &entry, bool isRelease) const;
-    std::size_t openOrders(const Entry &entry) const;
+    bool hasOpenGrant(const Entry &entry) const;
+    std::string addressOf(const std::string &target) const;
     void announceIfChanged();
     void note(std::uint32_t event, std::string detail);
 
@@ -314,6 +325,8 @@
     Time m_nextClaim = 0ms;
     std::vector<PeerDaemon> m_peers;
     std::map<std::string, RegisteredTarget> m_targets;
+    std::map<std::string, std::string> m_addresses; ///< Last known, of targets that have left too.
+    std::map<std::string, Time> m_avoidUntil; ///< Targets that just didn't answer: they get no new ranges until then.
 
     // Of the controller.
     OwnershipRecord m_written; ///< As in the store.
@@ -322,7 +335,8 @@
     std::optional<OwnershipRecord> m_previous; ///< The record that was taken over.
     bool m_isWriting = false;
     bool m_isReading = false;
-    Time m_nextStoreCall = 0ms;
+    Time m_nextRead = 0ms;
+    Time m_nextWrite = 0ms;
     Time m_confirmedAt = 0ms; ///< The store is known to have named this daemon after this time.
     Time m_nextBeat = 0ms;
     Time m_nextPlan = 0ms;
--- a/packages/core/include/sardinehinge/core/rangeplanner.h
+++ b/packages/core/include/sardinehinge/core/rangeplanner.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
--- a/packages/core/include/sardinehinge/core/targetscore.h
+++ b/packages/core/include/sardinehinge/core/targetscore.h
@@ -29,7 +29,7 @@
     Duration ejectTimeMax = std::chrono::seconds(4);
     Duration limitPause = std::chrono::milliseconds(100); ///< Least time between two cuts of the limit.
     double limitMin = 1; ///< So that every daemon goes on seeing the target.
-    double limitMax = 24; ///< The queue of a target; more in flight from one daemon can only be shed.
+    double limitMax = 10; ///< Eleven daemons share the 130 connections of a target.
 
     bool operator==(const ScoreTiming &) const = default;
 };
@@ -52,8 +52,8 @@
     bool isEjected(Time now) const noexcept { return now < m_ejectedUntil; }
     std::uint32_t inFlight() const noexcept { return m_inFlight; }
     double limit() const noexcept { return m_limit; }
-    /// Smoothed latency; `fallback` before the first answer.
-    Duration latency(Duration fallback) const noexcept { return m_latency == 0ms ? fallback : m_latency; }
+    /// Smoothed latency; 0 before the first answer.
+    Duration latency() const noexcept { return m_latency; }
     /// Expected cost of one more request, in nanoseconds; lower is better. `norm`: latency of an average target.
     double cost(Duration norm, bool isRemote, bool isWarming, Time now) const noexcept;
 
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace sardinehinge::core {
 
@@ -464,8 +465,10 @@
 {
     std::map<std::string, Duration> latencies;
     if (const auto found = m_services.find(service); found != m_services.end()) {
-        for (const auto &[id, target] : found->second.targets)
-            latencies[id] = target.score.latency(found->second.norm);
+        for (const auto &[id, target] : found->second.targets) {
+            if (const Duration latency = target.score.latency(); latency > 0ms)
+                latencies[id] = latency;
+        }
     }
     return latencies;
 }
--- /dev/null
+++ b/packages/core/src/rangecontrol.cpp
@@ -0,0 +1,317 @@
+#include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/rangecontrol.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core {
+
+namespace {
+
+/// Order of the daemons in which they offer themselves for a service: differs between services, so that control of
+/// several services spreads. FNV-1a.
+std::uint64_t rankHash(const std::string &service, const std::string &daemon) noexcept
+{
+    std::uint64_t hash = 0xcbf29ce484222325;
+    for (const char c : service + "/" + daemon) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= 0x100000001b3;
+    }
+    return hash;
+}
+
+} // namespace
+
+RangeControl::RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing)
+    : m_service(std::move(service))
+    , m_self(std::move(self))
+    , m_timing(timing)
+    , m_now(now)
+    , m_heardAt(now)
+{
+}
+
+RangeControl::Effects RangeControl::handle(const ControlEvent &event, Time now)
+{
+    m_now = now;
+    if (m_role == Role::Controller && now - m_confirmedAt > m_timing.authority)
+        stepDown("no word from the store for too long");
+    if (m_role != Role::Stopped)
+        std::visit([this](const auto &concrete) { on(concrete); }, event);
+    if (m_role == Role::Controller) {
+        driveRanges();
+        writeIfDue();
+        announceIfChanged();
+        beatIfDue();
+    }
+    return std::exchange(m_effects, {});
+}
+
+void RangeControl::note(std::uint32_t event, std::string detail)
+{
+    m_effects.emplace_back(ControlNote{event, m_service + ": " + std::move(detail)});
+}
+
+RangeOwners RangeControl::owners() const
+{
+    return {m_service, m_term, m_sequence, m_announced};
+}
+
+void RangeControl::on(const ControlTick &)
+{
+    if (m_role == Role::Controller) {
+        confirmIfDue();
+        planIfDue();
+    } else {
+        considerClaim();
+    }
+}
+
+std::size_t RangeControl::rank() const
+{
+    const std::uint64_t mine = rankHash(m_service, m_self.id);
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const PeerDaemon &peer) {
+        return peer.id != m_controller && rankHash(m_service, peer.id) < mine;
+    }));
+}
+
+/// A daemon offers itself when the controller is silent, says that it leaves, or has lost the store for long.
+void RangeControl::considerClaim()
+{
+    if (m_role != Role::Follower || m_isReading || m_now < m_nextClaim)
+        return;
+    const Duration turn = m_timing.rankStep * static_cast<Duration::rep>(rank());
+    const Duration silence = m_now - m_heardAt;
+    const bool isSilent = silence > (m_isControllerLeaving ? 0ms : m_timing.controllerSilence) + turn;
+    const bool isCutOff = m_controllerStoreAge > m_timing.storeSilence + turn;
+    if (!isSilent && !isCutOff)
+        return;
+    m_isReading = true;
+    m_nextClaim = m_now + m_timing.storeRetry + turn;
+    m_effects.emplace_back(ReadOwnership{});
+}
+
+void RangeControl::on(const OwnershipRead &event)
+{
+    m_isReading = false;
+    if (m_role == Role::Controller) {
+        if (event.record && event.record->term == m_term && event.record->controller == m_self.id
+            && event.record->controllerIncarnation == m_self.incarnation) {
+            m_confirmedAt = std::max(m_confirmedAt, event.askedAt);
+            // The answer to a write was lost: the record shows whether it took effect.
+            if (m_isWriting && event.revision != m_revision) {
+                m_revision = event.revision;
+                applyWritten();
+            } else if (m_isWriting && m_now >= m_nextWrite) {
+                m_isWriting = false; // Written again under the same condition: only one of both can apply.
+            }
+        } else {
+            followerSees(event.record.value_or(OwnershipRecord{}), event.revision);
+            stepDown("the store names another controller");
+        }
+        return;
+    }
+    if (m_role != Role::Follower)
+        return;
+    const bool isNews = event.record && event.record->term > m_term;
+    if (isNews) {
+        // Somebody took over a moment ago: it gets its time to be heard, unless it is an earlier life of this daemon.
+        followerSees(*event.record, event.revision);
+        if (event.record->controller != m_self.id && !event.record->isResigned
+            && !isEarlierControllerGone(*event.record))
+            return;
+    }
+    claim(event.record, event.revision);
+}
+
+void RangeControl::on(const OwnershipCallFailed &event)
+{
+    if (!event.wasWrite)
+        m_isReading = false;
+    m_nextRead = m_now + m_timing.storeRetry;
+    m_nextClaim = std::max(m_nextClaim, m_nextRead);
+    // Whether a lost write took effect is read back before anything else is written: m_isWriting stays.
+    if (event.wasWrite && m_role == Role::Claiming)
+        m_role = Role::Follower;
+}
+
+void RangeControl::claim(const std::optional<OwnershipRecord> &record, std::uint64_t revision)
+{
+    m_previous = record;
+    m_pending = record.value_or(OwnershipRecord{});
+    m_pending.term = std::max(m_term, m_pending.term) + 1;
+    m_pending.controller = m_self.id;
+    m_pending.controllerIncarnation = m_self.incarnation;
+    m_pending.isResigned = false;
+    m_role = Role::Claiming;
+    note(events::rangeControlClaimed, "term " + std::to_string(m_pending.term));
+    m_effects.emplace_back(WriteOwnership{m_pending, revision});
+}
+
+void RangeControl::on(const OwnershipWritten &event)
+{
+    if (m_role == Role::Claiming) {
+        m_revision = event.revision;
+        m_confirmedAt = event.askedAt;
+        m_written = m_pending;
+        startControl();
+    } else if (m_role == Role::Controller && m_isWriting) {
+        m_revision = event.revision;
+        m_confirmedAt = std::max(m_confirmedAt, event.askedAt);
+        applyWritten();
+    }
+}
+
+void RangeControl::on(const OwnershipConflict &event)
+{
+    // A write whose answer was lost may be done after all, and meets its own copy.
+    if (event.record == m_pending && (m_role == Role::Claiming || m_isWriting)) {
+        on(OwnershipWritten{event.revision, m_confirmedAt});
+        return;
+    }
+    followerSees(event.record, event.revision);
+    if (m_role == Role::Controller)
+        stepDown("another write of the record came first");
+    m_role = Role::Follower;
+}
+
+void RangeControl::followerSees(const OwnershipRecord &record, std::uint64_t revision)
+{
+    m_revision = revision;
+    if (record.term <= m_term)
+        return;
+    m_term = record.term;
+    m_controller = record.controller;
+    m_heardAt = m_now;
+    m_isControllerLeaving = record.isResigned;
+    m_controllerStoreAge = 0ms;
+}
+
+bool RangeControl::isEarlierControllerGone(const OwnershipRecord &record) const
+{
+    if (record.isResigned || record.controller.empty())
+        return true;
+    if (record.controller == m_self.id)
+        return record.controllerIncarnation != m_self.incarnation;
+    return std::any_of(m_peers.begin(), m_peers.end(), [&record](const PeerDaemon &peer) {
+        return peer.id == record.controller && peer.incarnation > record.controllerIncarnation;
+    });
+}
+
+void RangeControl::startControl()
+{
+    m_role = Role::Controller;
+    m_term = m_written.term;
+    m_controller = m_self.id;
+    m_isControllerLeaving = false;
+    m_controllerStoreAge = 0ms;
+    m_isWriting = false;
+    m_fenceCount = 0;
+    m_sequence = 0;
+    m_isReading = false;
+    m_nextRead = m_nextWrite = m_now;
+    m_orders.clear();
+    m_announced.clear();
+    m_load = {};
+    const bool isGone = !m_previous || isEarlierControllerGone(*m_previous);
+    m_inheritedUntil
+        = m_now + longestHold() + (isGone ? Duration(0) : m_timing.authority + m_timing.authority / 100);
+    m_entries.clear();
+    for (const OwnedRange &owned : m_written.ranges) {
+        Entry entry;
+        entry.owned = owned;
+        entry.isInherited = true;
+        entry.phase = owned.owner.id.empty() ? Phase::Free : Phase::Granting;
+        entry.mayHoldUntil = owned.owner.id.empty() ? m_now : m_inheritedUntil;
+        // Fences of this term: what earlier controllers may still send is refused from the first grant on.
+        entry.owned.fence = entry.firstFence = nextFence();
+        m_entries.push_back(entry);
+    }
+    m_nextPlan = m_now + 2 * m_timing.planEvery;
+    m_nextBeat = m_now;
+    note(events::rangeControlStarted,
+         "term " + std::to_string(m_term) + " revision " + std::to_string(m_revision) + " ranges "
+             + std::to_string(m_entries.size()) + (isGone ? " previous controller gone" : " previous controller unknown"));
+}
+
+void RangeControl::stepDown(const std::string &why)
+{
+    note(events::rangeControlEnded, "term " + std::to_string(m_written.term) + ": " + why);
+    m_role = Role::Follower;
+    m_isWriting = false;
+    m_isReading = false;
+    m_entries.clear();
+    m_orders.clear();
+    m_heardAt = m_now;
+    m_nextClaim = m_now + m_timing.storeRetry;
+}
+
+void RangeControl::on(const ControlBeat &event)
+{
+    if (event.term < m_term || event.from == m_self.id)
+        return;
+    if (event.term > m_term && m_role == Role::Controller) {
+        const std::uint64_t ended = m_written.term;
+        stepDown(event.from + " controls term " + std::to_string(event.term));
+        m_effects.emplace_back(SendResigned{event.from, {m_service, m_self.id, ended}});
+    }
+    m_term = event.term;
+    m_controller = event.from;
+    m_heardSequence = event.sequence;
+    m_heardAt = m_now;
+    m_isControllerLeaving = event.isLeaving;
+    m_controllerStoreAge = event.storeAge;
+}
+
+void RangeControl::on(const ControlResigned &event)
+{
+    if (m_role != Role::Controller || !m_previous || event.term != m_previous->term
+        || event.from != m_previous->controller)
+        return;
+    m_inheritedUntil = std::min(m_inheritedUntil, m_now + longestHold());
+    for (Entry &entry : m_entries) {
+        if (entry.isInherited)
+            entry.mayHoldUntil = std::min(entry.mayHoldUntil, m_inheritedUntil);
+    }
+}
+
+void RangeControl::on(const ControlPeers &event)
+{
+    m_peers = event.peers;
+    if (m_role != Role::Controller || !m_previous || m_inheritedUntil <= m_now + longestHold())
+        return;
+    if (isEarlierControllerGone(*m_previous))
+        on(ControlResigned{m_service, m_previous->controller, m_previous->term});
+}
+
+void RangeControl::on(const ControlStop &)
+{
+    if (m_role == Role::Controller) {
+        OwnershipRecord resigned = m_written;
+        resigned.isResigned = true;
+        m_effects.emplace_back(WriteOwnership{resigned, m_revision});
+        m_effects.emplace_back(
+            SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, true}});
+        note(events::rangeControlEnded, "term " + std::to_string(m_term) + ": the daemon stops");
+    }
+    m_role = Role::Stopped;
+}
+
+void RangeControl::beatIfDue()
+{
+    if (m_now < m_nextBeat)
+        return;
+    m_nextBeat = m_now + m_timing.heartbeat;
+    m_effects.emplace_back(SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, false}});
+}
+
+void RangeControl::confirmIfDue()
+{
+    if (m_isReading || m_now < m_nextRead || m_now - m_confirmedAt < m_timing.confirmEvery)
+        return;
+    m_isReading = true;
+    m_nextRead = m_now + m_timing.storeRetry;
+    m_effects.emplace_back(ReadOwnership{});
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/src/targetregistry.cpp
@@ -0,0 +1,76 @@
+#include <sardinehinge/core/targetregistry.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core {
+
+void TargetRegistry::put(const RegisteredTarget &target, Time now)
+{
+    Entry &entry = m_entries[target.life.id];
+    const bool isSame = entry.target == target && entry.vanishedAt == 0ms;
+    entry = {target, now + target.warmupLeft, 0ms};
+    m_isChanged = m_isChanged || !isSame;
+}
+
+void TargetRegistry::remove(const std::string &id, Time now)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end() && found->second.vanishedAt == 0ms)
+        found->second.vanishedAt = now;
+}
+
+void TargetRegistry::keepOnly(const std::vector<std::string> &present, Time now)
+{
+    for (const auto &[id, entry] : m_entries) {
+        if (std::find(present.begin(), present.end(), id) == present.end())
+            remove(id, now);
+    }
+}
+
+void TargetRegistry::storeBack(Time now) noexcept
+{
+    if (!std::exchange(m_isStoreLost, false))
+        return;
+    m_steadyFrom = now + m_timing.returnGrace;
+}
+
+std::vector<std::string> TargetRegistry::expire(Time now)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.vanishedAt == 0ms)
+            continue;
+        // A draining target said itself that it leaves.
+        const bool isDue = entry.target.isDraining || now >= entry.vanishedAt + m_timing.goneDelay;
+        const bool isSteady = entry.target.isDraining || (!m_isStoreLost && now >= m_steadyFrom);
+        if (isDue && isSteady)
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone)
+        m_entries.erase(id);
+    m_isChanged = m_isChanged || !gone.empty();
+    return gone;
+}
+
+bool TargetRegistry::takeChanged() noexcept
+{
+    return std::exchange(m_isChanged, false);
+}
+
+std::vector<RegisteredTarget> TargetRegistry::targets(Time now) const
+{
+    std::vector<RegisteredTarget> targets;
+    for (const auto &[id, entry] : m_entries) {
+        targets.push_back(entry.target);
+        targets.back().warmupLeft = std::max(entry.warmUntil - now, Duration(0));
+    }
+    return targets;
+}
+
+const RegisteredTarget *TargetRegistry::find(const std::string &id) const noexcept
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.target;
+}
+
+} // namespace sardinehinge::core
--- a/packages/daemon/include/sardinehinge/daemon/eventlog.h
+++ b/packages/daemon/include/sardinehinge/daemon/eventlog.h
@@ -30,7 +30,7 @@
 public:
     static constexpr std::size_t keptEntries = 20'000;
 
-    EventLog();
+    explicit EventLog(std::size_t kept = keptEntries);
 
     void record(Severity severity, std::uint32_t event, const std::string &detail);
     /// The stamp for an outgoing message; it counts as an event.
@@ -50,4 +50,10 @@
 /// preferred to a loss of lines, since events are few and none is logged per request.
 void initialiseLog(const std::string &level, const std::string &daemonId);
 
+/// Sends log lines to standard output without ever blocking: lines wait in a buffer of bounded size, which a thread of
+/// its own writes. What doesn't fit, or exceeds the rate, is left out, details first, and counted in a line of its own.
+void initialiseGatewayLog(const std::string &daemonId);
+/// Writes what is still in that buffer, as far as standard output takes it at once.
+void flushGatewayLog();
+
 } // namespace sardinehinge::daemon
--- a/packages/daemon/include/sardinehinge/daemon/settings.h
+++ b/packages/daemon/include/sardinehinge/daemon/settings.h
@@ -19,6 +19,7 @@
     std::string peerAddress = "127.0.0.1:8081"; ///< UDP, for other daemons.
     std::string operatorAddress = "127.0.0.1:8082"; ///< TCP, for operators and metrics.
     std::string platformUrl; ///< Of the object store and the instance list.
+    std::string platformSettings; ///< Settings file of a hosting platform; then all other settings come from there.
     std::string logLevel = "info"; ///< debug, info, warning or error.
     core::Duration drainNotice
         = core::Duration(std::chrono::milliseconds(1000)); ///< Unready before it stops accepting.
--- a/packages/daemon/src/eventlog.cpp
+++ b/packages/daemon/src/eventlog.cpp
@@ -43,8 +43,8 @@
 
 } // namespace
 
-EventLog::EventLog()
-    : m_entries(keptEntries)
+EventLog::EventLog(std::size_t kept)
+    : m_entries(kept)
 {
 }
 
--- /dev/null
+++ b/packages/daemon/src/feedwatcher.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <sardinehinge/daemon/worker.h>
+#include <sardinehinge/edges/gatewayedges.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace sardinehinge::daemon {
+
+/// Periods of a watch on the platform's store.
+struct FeedTiming
+{
+    core::Duration wait = std::chrono::seconds(4); ///< One waiting call; its lack of an answer shows a silent store.
+    core::Duration pause = std::chrono::milliseconds(100); ///< After changes: those that follow closely cost one call.
+    core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
+    core::Duration retryMax = std::chrono::milliseconds(1600);
+};
+
+/// Keeps up with the objects of one kind: lists them, watches from there on, and lists again when history was lost.
+/// Single-threaded, on the feed's io_context.
+template<typename Value>
+class FeedWatcher
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const edges::FeedEntry<Value> &)> changed;
+        /// The names of a whole list, after `changed` was called for each.
+        std::function<void(const std::vector<std::string> &)> listed;
+        /// Whether the last call was answered, with what is known of a failure.
+        std::function<void(bool isReachable, const std::string &detail)> reached;
+    };
+
+    FeedWatcher(boost::asio::io_context &context, edges::Feed<Value> &feed, Handlers handlers, FeedTiming timing = {})
+        : m_feed(feed)
+        , m_handlers(std::move(handlers))
+        , m_timing(timing)
+        , m_timer(context)
+    {
+    }
+
+    void start() { list({}); }
+
+private:
+    using Page = edges::FeedPage<Value>;
+
+    void list(const std::string &after)
+    {
+        if (after.empty())
+            m_names.clear();
+        m_feed.list(after, [this](const Page &page) {
+            if (page.outcome != edges::StoreOutcome::Ok)
+                return fail(page);
+            succeed();
+            take(page);
+            if (page.hasMore && !page.entries.empty())
+                return list(page.entries.back().name);
+            m_revision = page.revision;
+            m_isListed = true;
+            m_handlers.listed(m_names);
+            watch();
+        });
+    }
+
+    void watch()
+    {
+        m_feed.watch(m_revision, m_timing.wait, [this](const Page &page) {
+            if (page.outcome == edges::StoreOutcome::HistoryGone) {
+                m_isListed = false;
+                return list({});
+            }
+            if (page.outcome != edges::StoreOutcome::Ok)
+                return fail(page);
+            succeed();
+            take(page);
+            m_revision = page.revision;
+            if (page.entries.empty())
+                return watch();
+            after(m_timing.pause, [this] { watch(); });
+        });
+    }
+
+    void take(const Page &page)
+    {
+        for (const auto &entry : page.entries) {
+            m_names.push_back(entry.name);
+            m_handlers.changed(entry);
+        }
+        if (m_isListed)
+            m_names.clear();
+    }
+
+    void succeed()
+    {
+        m_retry = core::Duration(0);
+        m_handlers.reached(true, {});
+    }
+
+    void fail(const Page &page)
+    {
+        m_handlers.reached(false, page.detail);
+        m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
+        after(m_retry, [this] { m_isListed ? watch() : list({}); });
+    }
+
+    void after(core::Duration wait, std::function<void()> action)
+    {
+        m_timer.expires_after(wait);
+        m_timer.async_wait([action = std::move(action)](const boost::system::error_code &error) {
+            if (!error)
+                action();
+        });
+    }
+
+    edges::Feed<Value> &m_feed;
+    Handlers m_handlers;
+    FeedTiming m_timing;
+    boost::asio::steady_timer m_timer;
+    std::vector<std::string> m_names;
+    std::uint64_t m_revision = 0;
+    bool m_isListed = false;
+    core::Duration m_retry = core::Duration(0);
+};
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -0,0 +1,485 @@
+#include "gatewaycontrol.h"
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace sardinehinge::daemon {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+/// Entries from the traffic duty: load reports and refusals by owners.
+constexpr std::size_t reportRing = 4096;
+/// Ownership is driven this often: a tenth of a renewal period.
+constexpr std::chrono::milliseconds timerStep(50);
+/// Between two tries to enter this daemon into the platform's registry.
+constexpr std::chrono::milliseconds enterRetry(500);
+/// A shorter lease than the targets' bound is used; see core::OwnershipTiming.
+constexpr int statusNotFound = 404;
+constexpr int statusOk = 200;
+
+std::optional<udp::endpoint> parseEndpoint(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const auto [end, fault] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (error || fault != std::errc())
+        return std::nullopt;
+    return udp::endpoint(ip, port);
+}
+
+} // namespace
+
+GatewayControl::GatewayControl(const edges::GatewaySettings &settings, const PlatformMaker &makePlatform,
+                               EventLog &events, Metrics &metrics, std::function<bool(ToTraffic)> tellTraffic)
+    : m_settings(settings)
+    , m_events(events)
+    , m_metrics(metrics)
+    , m_tellTraffic(std::move(tellTraffic))
+    , m_timer(m_worker.context())
+    , m_enterTimer(m_worker.context())
+    , m_platform(makePlatform(m_worker.context()))
+    , m_metricsServer(m_worker.context(), *this)
+    , m_configs(m_worker.context(), m_platform->configs(),
+                {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
+                 [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }})
+    , m_targetFeed(m_worker.context(), m_platform->targets(),
+                   {[this](const auto &entry) { targetChanged(entry); },
+                    [this](const std::vector<std::string> &names) {
+                        m_registry.keepOnly(names, bootTime());
+                        m_hasTargets = true;
+                        publishTargets();
+                    },
+                    [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }})
+    , m_socket(m_worker.context())
+    , m_reports(reportRing, m_worker.waker([this] {
+        m_reports.drain([this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
+    }))
+    , m_self{settings.id, 0}
+{
+}
+
+GatewayControl::~GatewayControl()
+{
+    m_worker.stop();
+}
+
+core::Result<core::Done> GatewayControl::start()
+{
+    const auto endpoint = parseEndpoint(m_settings.peerAddress);
+    boost::system::error_code error;
+    if (endpoint) {
+        m_socket.open(endpoint->protocol(), error);
+        if (!error)
+            m_socket.bind(*endpoint, error);
+    }
+    if (!endpoint || error)
+        return core::Error{core::ErrorCode::BadSetting, "listen", m_settings.peerAddress,
+                           endpoint ? error.message() : "bad address"};
+    m_socket.non_blocking(true, error);
+    if (auto listening = m_metricsServer.listen(m_settings.metricsAddress); core::errorIn(listening) != nullptr)
+        return listening;
+    receive();
+    boost::asio::post(m_worker.context(), [this] {
+        m_configs.start();
+        m_targetFeed.start();
+        enter();
+        onTimer();
+    });
+    m_worker.start();
+    return core::Done{};
+}
+
+void GatewayControl::resign()
+{
+    boost::asio::post(m_worker.context(), [this] {
+        m_isResigning = true;
+        for (const auto &[name, service] : m_services)
+            run(name, core::ControlStop{});
+    });
+}
+
+void GatewayControl::handle(std::uint64_t, http::Request request, std::shared_ptr<http::Responder> responder)
+{
+    if (http::pathOf(request.target) != "/metrics")
+        return responder->send({statusNotFound, {{"Content-Type", "text/plain"}}, "only /metrics is here\n"});
+    responder->send({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+}
+
+http::Response GatewayControl::rejection(int status, const std::string &detail, const std::string &)
+{
+    return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
+}
+
+/// The registry's revision of the entry names this life of the daemon: until it is known, this daemon takes no part in
+/// control.
+void GatewayControl::enter()
+{
+    m_metrics.storeWrites.Increment();
+    const core::PeerDaemon self{m_settings.id, 0, m_settings.peerAddress};
+    m_platform->peers().enter(self, [this](edges::StoreOutcome outcome, std::uint64_t revision) {
+        if (outcome != edges::StoreOutcome::Ok || revision == 0) {
+            m_enterTimer.expires_after(enterRetry);
+            m_enterTimer.async_wait([this](const boost::system::error_code &error) {
+                if (!error)
+                    enter();
+            });
+            return;
+        }
+        m_self.incarnation = revision;
+        m_hasEntered = true;
+        watchPeers();
+    });
+}
+
+/// Lists the other daemons once; later ones make themselves known.
+void GatewayControl::watchPeers()
+{
+    m_metrics.listReads.Increment();
+    m_platform->peers().list({}, [this](const edges::FeedPage<core::PeerDaemon> &page) {
+        for (const auto &entry : page.entries) {
+            if (entry.value && entry.name != m_self.id)
+                addPeer(*entry.value);
+        }
+        if (page.outcome == edges::StoreOutcome::Ok) {
+            sendToAll(protocol::Hello{m_settings.peerAddress, false});
+            return;
+        }
+        m_enterTimer.expires_after(enterRetry);
+        m_enterTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                watchPeers();
+        });
+    });
+}
+
+void GatewayControl::addPeer(const core::PeerDaemon &peer)
+{
+    auto &known = m_peers[peer.id];
+    if (peer.incarnation < known.incarnation || known == peer)
+        return;
+    known = peer;
+    m_events.record(Severity::Info, core::events::peerJoined,
+                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation) + " address=" + peer.address);
+    publishPeers();
+}
+
+void GatewayControl::publishPeers()
+{
+    std::vector<core::PeerDaemon> peers;
+    for (const auto &[id, peer] : m_peers)
+        peers.push_back(peer);
+    m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
+    for (const auto &[name, service] : m_services)
+        run(name, core::ControlPeers{peers});
+}
+
+void GatewayControl::configChanged(const edges::FeedEntry<core::GatewayConfig> &entry)
+{
+    if (!entry.value) {
+        m_events.record(Severity::Warning, core::events::gatewayConfigRefused,
+                        "object=" + entry.name + " reason=\"" + entry.fault + "\" in_force="
+                            + std::to_string(m_configVersion));
+        return;
+    }
+    if (entry.value->version <= m_configVersion)
+        return;
+    m_configVersion = entry.value->version;
+    for (const core::BackendService &service : entry.value->services) {
+        if (service.isSharded)
+            serviceOf(service.name);
+    }
+    m_tellTraffic(GatewayConfigUpdate{*entry.value});
+}
+
+void GatewayControl::targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry)
+{
+    const core::Time now = bootTime();
+    if (entry.value) {
+        const core::RegisteredTarget *known = m_registry.find(entry.name);
+        if (known == nullptr || known->life != entry.value->life || known->isDraining != entry.value->isDraining)
+            m_events.record(Severity::Info,
+                            entry.value->isDraining ? core::events::targetDraining : core::events::targetRegistered,
+                            "target=" + entry.name + " service=" + entry.value->service + " address="
+                                + entry.value->address + " born=" + std::to_string(entry.value->life.born));
+        m_registry.put(*entry.value, now);
+    } else {
+        if (!entry.fault.empty())
+            m_events.record(Severity::Warning, core::events::targetEntryRefused,
+                            "target=" + entry.name + " reason=\"" + entry.fault + "\"");
+        m_registry.remove(entry.name, now);
+    }
+    if (m_hasTargets)
+        publishTargets();
+}
+
+void GatewayControl::reached(bool isReachable, const std::string &detail)
+{
+    m_metrics.storeWatches.Increment();
+    if (isReachable)
+        m_registry.storeBack(bootTime());
+    else
+        m_registry.storeLost();
+    if (isReachable == m_isReachable)
+        return;
+    m_isReachable = isReachable;
+    m_events.record(isReachable ? Severity::Info : Severity::Warning,
+                    isReachable ? core::events::platformBack : core::events::platformLost, "detail=\"" + detail + "\"");
+}
+
+void GatewayControl::publishTargets()
+{
+    const core::Time now = bootTime();
+    for (const std::string &id : m_registry.expire(now))
+        m_events.record(Severity::Info, core::events::targetGone, "target=" + id);
+    if (!m_registry.takeChanged())
+        return;
+    auto targets = m_registry.targets(now);
+    for (const auto &[name, service] : m_services) {
+        std::vector<core::RegisteredTarget> own;
+        for (const core::RegisteredTarget &target : targets) {
+            if (target.service == name)
+                own.push_back(target);
+        }
+        run(name, core::ControlTargets{std::move(own)});
+    }
+    m_tellTraffic(GatewayTargetsUpdate{std::move(targets)});
+}
+
+GatewayControl::Service &GatewayControl::serviceOf(const std::string &name)
+{
+    Service &service = m_services[name];
+    if (service.owners.service.empty())
+        service.owners.service = name;
+    return service;
+}
+
+void GatewayControl::onTimer()
+{
+    if (m_hasTargets)
+        publishTargets();
+    const core::Time now = bootTime();
+    for (auto &[name, service] : m_services) {
+        if (m_isResigning || !m_hasEntered || !m_hasTargets)
+            continue;
+        if (service.control == nullptr) {
+            service.control = std::make_unique<core::RangeControl>(name, m_self, now);
+            std::vector<core::PeerDaemon> peers;
+            for (const auto &[id, peer] : m_peers)
+                peers.push_back(peer);
+            run(name, core::ControlPeers{std::move(peers)});
+            std::vector<core::RegisteredTarget> own;
+            for (const core::RegisteredTarget &target : m_registry.targets(now)) {
+                if (target.service == name)
+                    own.push_back(target);
+            }
+            run(name, core::ControlTargets{std::move(own)});
+        }
+        run(name, core::ControlTick{});
+    }
+    m_timer.expires_after(timerStep);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void GatewayControl::run(const std::string &service, const core::ControlEvent &event)
+{
+    Service &state = serviceOf(service);
+    if (state.control == nullptr)
+        return;
+    for (const core::ControlEffect &effect : state.control->handle(event, bootTime()))
+        std::visit([this, &service](const auto &concrete) { act(service, concrete); }, effect);
+}
+
+void GatewayControl::act(const std::string &service, const core::ReadOwnership &)
+{
+    m_metrics.storeReads.Increment();
+    m_platform->ownership().read(service, [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+        if (reply.outcome == edges::StoreOutcome::Ok || reply.outcome == edges::StoreOutcome::Missing)
+            run(service, core::OwnershipRead{reply.record, reply.revision, asked});
+        else
+            run(service, core::OwnershipCallFailed{false});
+    });
+}
+
+void GatewayControl::act(const std::string &service, const core::WriteOwnership &effect)
+{
+    m_metrics.storeWrites.Increment();
+    m_platform->ownership().write(
+        service, effect.record, effect.expected,
+        [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+            if (reply.outcome == edges::StoreOutcome::Ok)
+                run(service, core::OwnershipWritten{reply.revision, asked});
+            else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
+                run(service, core::OwnershipConflict{*reply.record, reply.revision});
+            else
+                run(service, core::OwnershipCallFailed{true});
+        });
+}
+
+void GatewayControl::act(const std::string &service, const core::RangeOrder &effect)
+{
+    m_platform->orders().send(effect,
+                              [this, service, order = effect.order](core::OrderEndKind end, const std::string &handover) {
+                                  run(service, core::OrderEnded{order, end, handover});
+                              });
+}
+
+void GatewayControl::act(const std::string &, const core::AnnounceOwners &effect)
+{
+    sendToAll(effect.owners);
+    takeOwners(effect.owners, m_self.id);
+}
+
+void GatewayControl::act(const std::string &, const core::SendBeat &effect)
+{
+    sendToAll(effect.beat);
+}
+
+void GatewayControl::act(const std::string &, const core::SendResigned &effect)
+{
+    send(effect.to, effect.message);
+}
+
+void GatewayControl::act(const std::string &, const core::ControlNote &effect)
+{
+    m_events.record(Severity::Info, effect.event, effect.detail);
+}
+
+void GatewayControl::take(const ServiceKeyLoad &report)
+{
+    const Service &service = serviceOf(report.service);
+    if (service.control != nullptr && service.control->isController())
+        run(report.service, report.report);
+    else if (!service.controller.empty())
+        send(service.controller, protocol::LoadMessage{report.service, report.report.requests, report.report.latencies});
+}
+
+void GatewayControl::take(const core::OwnerRefused &report)
+{
+    const Service &service = serviceOf(report.service);
+    if (service.control != nullptr && service.control->isController())
+        run(report.service, core::KeyRefused{report.target, report.key});
+    else if (!service.controller.empty())
+        send(service.controller, protocol::RefusedMessage{report.service, report.target, report.key});
+}
+
+void GatewayControl::takeOwners(const core::RangeOwners &owners, const std::string &from)
+{
+    Service &service = serviceOf(owners.service);
+    if (!owners.isNewerThan(service.owners))
+        return;
+    service.owners = owners;
+    service.controller = from;
+    m_events.record(Severity::Info, core::events::ownersAnnounced,
+                    "service=" + owners.service + " from=" + from + " term=" + std::to_string(owners.term) + " sequence="
+                        + std::to_string(owners.sequence) + " ranges=" + std::to_string(owners.ranges.size()));
+    m_tellTraffic(GatewayOwnersUpdate{owners});
+}
+
+void GatewayControl::receive()
+{
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_from,
+                                [this](const boost::system::error_code &error, std::size_t bytes) {
+                                    if (error == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!error)
+                                        received(bytes);
+                                    receive();
+                                });
+}
+
+void GatewayControl::received(std::size_t bytes)
+{
+    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes));
+    auto result = protocol::decodeGateway({m_buffer.data(), bytes});
+    if (const core::Error *error = core::errorIn(result)) {
+        m_events.record(Severity::Warning, core::events::peerMessageRefused,
+                        m_from.address().to_string() + ": " + error->detail);
+        return;
+    }
+    const auto &datagram = std::get<protocol::GatewayDatagram>(result);
+    const std::string from = datagram.sender.id;
+    if (from == m_self.id)
+        return;
+    // Ports are the same on all instances: the address that it came from is the one to answer to.
+    const std::string address = m_from.address().to_string() + ":" + std::to_string(m_from.port());
+    addPeer({from, datagram.sender.incarnation, address});
+    if (m_peers[from].incarnation > datagram.sender.incarnation)
+        return;
+    std::visit([this, &from](const auto &message) { heard(from, message); }, datagram.message);
+}
+
+void GatewayControl::heard(const std::string &from, const core::RangeOwners &message)
+{
+    takeOwners(message, from);
+}
+
+void GatewayControl::heard(const std::string &from, const core::ControlBeat &message)
+{
+    run(message.service, message);
+    Service &service = serviceOf(message.service);
+    const core::RangeOwners latest{message.service, message.term, message.sequence, {}};
+    if (message.term >= service.owners.term)
+        service.controller = from;
+    if (latest.isNewerThan(service.owners) && message.sequence != 0)
+        send(from, protocol::OwnersWanted{message.service});
+}
+
+void GatewayControl::heard(const std::string &, const core::ControlResigned &message)
+{
+    run(message.service, message);
+}
+
+void GatewayControl::heard(const std::string &from, const protocol::OwnersWanted &message)
+{
+    const Service &service = serviceOf(message.service);
+    if (service.control != nullptr && service.control->isController())
+        send(from, service.control->owners());
+}
+
+void GatewayControl::heard(const std::string &, const protocol::LoadMessage &message)
+{
+    run(message.service, core::KeyLoadReport{message.requests, message.latencies});
+}
+
+void GatewayControl::heard(const std::string &, const protocol::RefusedMessage &message)
+{
+    run(message.service, core::KeyRefused{message.target, message.key});
+}
+
+void GatewayControl::heard(const std::string &from, const protocol::Hello &message)
+{
+    if (!message.isReply && m_hasEntered)
+        send(from, protocol::Hello{m_settings.peerAddress, true});
+}
+
+void GatewayControl::send(const std::string &to, const protocol::GatewayMessage &message)
+{
+    const auto peer = m_peers.find(to);
+    const auto endpoint = peer == m_peers.end() ? std::nullopt : parseEndpoint(peer->second.address);
+    if (!endpoint || !m_hasEntered)
+        return;
+    const std::string datagram = protocol::encode({m_self, message});
+    boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
+    m_socket.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
+    m_metrics.peerBytesOut.Increment(static_cast<double>(datagram.size()));
+}
+
+void GatewayControl::sendToAll(const protocol::GatewayMessage &message)
+{
+    for (const auto &[id, peer] : m_peers)
+        send(id, message);
+}
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "feedwatcher.h"
+#include "gatewaymessages.h"
+
+#include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/targetregistry.h>
+#include <sardinehinge/daemon/eventlog.h>
+#include <sardinehinge/daemon/metrics.h>
+#include <sardinehinge/daemon/ring.h>
+#include <sardinehinge/daemon/worker.h>
+#include <sardinehinge/edges/gatewayedges.h>
+#include <sardinehinge/http/server.h>
+#include <sardinehinge/protocol/gatewaycodec.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <map>
+
+namespace sardinehinge::daemon {
+
+/// Knows the configuration, the targets and the other daemons, and takes part in control of the sharded services' keys.
+/// It runs apart from traffic, so that a burst of requests delays no lease.
+class GatewayControl : private http::RequestHandler
+{
+public:
+    using PlatformMaker = std::function<std::unique_ptr<edges::GatewayPlatform>(boost::asio::io_context &)>;
+
+    GatewayControl(const edges::GatewaySettings &settings, const PlatformMaker &makePlatform, EventLog &events,
+                   Metrics &metrics, std::function<bool(ToTraffic)> tellTraffic);
+    ~GatewayControl() override;
+
+    core::Result<core::Done> start();
+    void stop() { m_worker.stop(); }
+
+    /// From the traffic duty.
+    Ring<FromTraffic> &reports() noexcept { return m_reports; }
+    /// Gives up control of all services, so that others take over at once. Safe to call from every thread.
+    void resign();
+
+private:
+    /// One sharded service.
+    struct Service
+    {
+        std::unique_ptr<core::RangeControl> control;
+        core::RangeOwners owners; ///< Latest announcement heard, ours included.
+        std::string controller; ///< The daemon that sent it, or whose beats are heard.
+    };
+
+    void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
+    void callerLeft(std::uint64_t) override { }
+    http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
+
+    void enter();
+    void watchPeers();
+    void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
+    void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
+    void reached(bool isReachable, const std::string &detail);
+    void publishTargets();
+    void addPeer(const core::PeerDaemon &peer);
+    void publishPeers();
+    Service &serviceOf(const std::string &name);
+    void onTimer();
+    void run(const std::string &service, const core::ControlEvent &event);
+    void act(const std::string &service, const core::ReadOwnership &effect);
+    void act(const std::string &service, const core::WriteOwnership &effect);
+    void act(const std::string &service, const core::RangeOrder &effect);
+    void act(const std::string &service, const core::AnnounceOwners &effect);
+    void act(const std::string &service, const core::SendBeat &effect);
+    void act(const std::string &service, const core::SendResigned &effect);
+    void act(const std::string &service, const core::ControlNote &effect);
+    void take(const ServiceKeyLoad &report);
+    void take(const core::OwnerRefused &report);
+    void takeOwners(const core::RangeOwners &owners, const std::string &from);
+
+    void receive();
+    void received(std::size_t bytes);
+    void heard(const std::string &from, const core::RangeOwners &message);
+    void heard(const std::string &from, const core::ControlBeat &message);
+    void heard(const std::string &from, const core::ControlResigned &message);
+    void heard(const std::string &from, const protocol::OwnersWanted &message);
+    void heard(const std::string &from, const protocol::LoadMessage &message);
+    void heard(const std::string &from, const protocol::RefusedMessage &message);
+    void heard(const std::string &from, const protocol::Hello &message);
+    void send(const std::string &to, const protocol::GatewayMessage &message);
+    void sendToAll(const protocol::GatewayMessage &message);
+
+    edges::GatewaySettings m_settings;
+    EventLog &m_events;
+    Metrics &m_metrics;
+    std::function<bool(ToTraffic)> m_tellTraffic;
+    Worker m_worker{"control"};
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_enterTimer;
+    std::unique_ptr<edges::GatewayPlatform> m_platform;
+    http::Server m_metricsServer;
+    FeedWatcher<core::GatewayConfig> m_configs;
+    FeedWatcher<core::RegisteredTarget> m_targetFeed;
+    boost::asio::ip::udp::socket m_socket;
+    std::array<char, 65'536> m_buffer{};
+    boost::asio::ip::udp::endpoint m_from;
+    Ring<FromTraffic> m_reports;
+    core::DaemonIdentity m_self;
+    bool m_hasEntered = false;
+    bool m_hasTargets = false;
+    bool m_isReachable = true;
+    bool m_isResigning = false;
+    std::uint64_t m_configVersion = 0;
+    core::TargetRegistry m_registry;
+    std::map<std::string, core::PeerDaemon> m_peers;
+    std::map<std::string, Service> m_services;
+};
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/gatewaymessages.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <sardinehinge/core/gatewayrouter.h>
+#include <sardinehinge/core/rangecontrol.h>
+
+#include <variant>
+
+/// What the two duties of a gateway say to each other through their rings.
+namespace sardinehinge::daemon {
+
+struct GatewayConfigUpdate
+{
+    core::GatewayConfig config;
+};
+
+struct GatewayTargetsUpdate
+{
+    std::vector<core::RegisteredTarget> targets;
+};
+
+struct GatewayOwnersUpdate
+{
+    core::RangeOwners owners;
+};
+
+struct GatewayDaemonsUpdate
+{
+    std::size_t count = 1;
+};
+
+/// Control duty to traffic duty.
+using ToTraffic
+    = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate>;
+
+struct ServiceKeyLoad
+{
+    std::string service;
+    core::KeyLoadReport report;
+};
+
+/// Traffic duty to control duty.
+using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused>;
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -0,0 +1,381 @@
+#include "gatewaytraffic.h"
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <random>
+
+namespace sardinehinge::daemon {
+
+namespace {
+
+/// Entries from the control duty: changes of configuration, targets and owners, which come a few a second.
+constexpr std::size_t updateRing = 1024;
+/// Timeouts are late by at most this much; finer steps cost wake-ups.
+constexpr std::chrono::milliseconds timerStep(20);
+/// How often the controllers of sharded services learn of the load by key.
+constexpr std::chrono::milliseconds loadReportPeriod(500);
+/// Descriptors that aren't for callers: files, the store, peers and connections to targets.
+constexpr std::size_t reservedDescriptors = 1200;
+/// A caller that doesn't read its answer for so long is given up.
+constexpr std::chrono::seconds writeTime(20);
+
+constexpr int statusNotFound = 404;
+constexpr int statusBadRequest = 400;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+const char *nameOf(core::GatewayFault fault)
+{
+    switch (fault) {
+    case core::GatewayFault::NoConfiguration:
+        return "no_configuration";
+    case core::GatewayFault::NoRoute:
+        return "no_route";
+    case core::GatewayFault::MissingKey:
+        return "missing_key";
+    case core::GatewayFault::NoTarget:
+        return "no_target";
+    case core::GatewayFault::NoOwner:
+        return "no_owner";
+    case core::GatewayFault::Overloaded:
+        return "overloaded";
+    case core::GatewayFault::TimedOut:
+        return "timed_out";
+    case core::GatewayFault::AnswerLost:
+        return "answer_lost";
+    }
+    return "unknown";
+}
+
+/// 503 promises that the request has not run and never will; the others promise nothing.
+int statusOf(const core::EndRequest &end)
+{
+    if (end.fault == core::GatewayFault::NoRoute)
+        return statusNotFound;
+    if (end.fault == core::GatewayFault::MissingKey)
+        return statusBadRequest;
+    if (!end.mayHaveRun)
+        return statusUnavailable;
+    return end.fault == core::GatewayFault::TimedOut ? statusTimeout : statusBadGateway;
+}
+
+const char *nameOf(core::AttemptEnd end)
+{
+    switch (end) {
+    case core::AttemptEnd::Answered:
+        return "answered";
+    case core::AttemptEnd::Shed:
+        return "shed";
+    case core::AttemptEnd::NotOwner:
+        return "not_owner";
+    case core::AttemptEnd::Leaving:
+        return "leaving";
+    case core::AttemptEnd::NothingSent:
+        return "nothing_sent";
+    case core::AttemptEnd::AnswerLost:
+        return "answer_lost";
+    case core::AttemptEnd::AnswerTruncated:
+        return "answer_truncated";
+    case core::AttemptEnd::LeaseLost:
+        return "lease_lost";
+    }
+    return "unknown";
+}
+
+std::int64_t milliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string secondsText(core::Duration duration)
+{
+    // Seconds with two decimals: callers take fractions.
+    const std::int64_t hundredths = std::max<std::int64_t>(milliseconds(duration) / 10, 1);
+    const std::string fraction = std::to_string(hundredths % 100);
+    return std::to_string(hundredths / 100) + "." + (fraction.size() < 2 ? "0" + fraction : fraction);
+}
+
+core::GatewayLimits limitsOf(const edges::GatewaySettings &settings)
+{
+    core::GatewayLimits limits;
+    limits.retries = settings.retries;
+    return limits;
+}
+
+} // namespace
+
+void GatewayTraffic::ReadyHandler::handle(std::uint64_t, http::Request, std::shared_ptr<http::Responder> responder)
+{
+    const bool isReady = m_traffic.isReady();
+    responder->send({isReady ? 200 : statusUnavailable, {{"Content-Type", "text/plain"}}, isReady ? "ready\n" : "not ready\n"});
+}
+
+http::Response GatewayTraffic::ReadyHandler::rejection(int status, const std::string &detail, const std::string &)
+{
+    return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
+}
+
+GatewayTraffic::GatewayTraffic(const edges::GatewaySettings &settings, std::unique_ptr<edges::RequestDialect> dialect,
+                               EventLog &events, Metrics &metrics, std::function<bool(FromTraffic)> tellControl)
+    : m_settings(settings)
+    , m_dialect(std::move(dialect))
+    , m_events(events)
+    , m_metrics(metrics)
+    , m_tellControl(std::move(tellControl))
+    , m_timer(m_worker.context())
+    , m_readyHandler(*this)
+    , m_callers(m_worker.context(), *this, serverLimits())
+    , m_readiness(m_worker.context(), m_readyHandler)
+    , m_client(m_worker.context())
+    , m_router(std::random_device()(), settings.failureDomain, limitsOf(settings))
+    , m_updates(updateRing, m_worker.waker([this] {
+        m_updates.drain([this](const ToTraffic &update) { std::visit([this](const auto &each) { take(each); }, update); });
+    }))
+{
+    m_router.setDaemons(settings.daemons);
+}
+
+GatewayTraffic::~GatewayTraffic()
+{
+    m_worker.stop();
+}
+
+http::ServerLimits GatewayTraffic::serverLimits() const
+{
+    http::ServerLimits limits;
+    limits.headerBytes = m_bounds.headerBytes;
+    limits.bodyBytes = m_bounds.bodyBytes;
+    limits.readTime = std::max<core::Duration>(m_bounds.headerTime, std::chrono::seconds(10));
+    limits.idleTime = m_bounds.idleTime;
+    limits.writeTime = writeTime;
+    limits.connections = m_settings.descriptors > 2 * reservedDescriptors ? m_settings.descriptors - reservedDescriptors
+                                                                           : m_settings.descriptors / 2;
+    return limits;
+}
+
+core::Result<core::Done> GatewayTraffic::start()
+{
+    if (auto listening = m_readiness.listen(m_settings.readyAddress); core::errorIn(listening) != nullptr)
+        return listening;
+    auto listening = m_callers.listen(m_settings.callerAddress);
+    if (core::errorIn(listening) == nullptr)
+        m_worker.start();
+    return listening;
+}
+
+void GatewayTraffic::applySettings(const edges::GatewaySettings &settings)
+{
+    boost::asio::post(m_worker.context(), [this, settings] {
+        m_settings.retries = settings.retries;
+        m_router.setLimits(limitsOf(settings));
+    });
+}
+
+void GatewayTraffic::announceDrain()
+{
+    m_isStopping.store(true);
+    m_isReady.store(false);
+    boost::asio::post(m_worker.context(), [this] { m_callers.announceClose(); });
+}
+
+void GatewayTraffic::drain()
+{
+    boost::asio::post(m_worker.context(), [this] { m_callers.drain(); });
+}
+
+void GatewayTraffic::take(const GatewayConfigUpdate &update)
+{
+    if (!m_router.setConfig(update.config))
+        return;
+    m_bounds = update.config.bounds;
+    m_callers.setLimits(serverLimits());
+    m_shardedServices.clear();
+    for (const core::BackendService &service : update.config.services) {
+        if (service.isSharded)
+            m_shardedServices.insert(service.name);
+    }
+    m_events.record(Severity::Info, core::events::gatewayConfigInForce,
+                    "version=" + std::to_string(update.config.version) + " routes="
+                        + std::to_string(update.config.routes.size()));
+    m_isReady.store(m_hasTargets && !m_isStopping.load());
+}
+
+void GatewayTraffic::take(const GatewayTargetsUpdate &update)
+{
+    m_hasTargets = true;
+    carryOut(m_router.setTargets(update.targets, bootTime()));
+    m_isReady.store(m_router.hasConfig() && !m_isStopping.load());
+}
+
+void GatewayTraffic::take(const GatewayOwnersUpdate &update)
+{
+    carryOut(m_router.setOwners(update.owners, bootTime()));
+}
+
+void GatewayTraffic::take(const GatewayDaemonsUpdate &update)
+{
+    m_router.setDaemons(std::max(update.count, m_settings.daemons));
+}
+
+void GatewayTraffic::handle(std::uint64_t id, http::Request request, std::shared_ptr<http::Responder> responder)
+{
+    const core::Time now = bootTime();
+    edges::CallerHead head = m_dialect->readHead(request);
+    head.request.id = id;
+    Exchange &exchange = m_exchanges[id];
+    exchange.message = std::move(request);
+    exchange.requestId = std::move(head.requestId);
+    exchange.responder = std::move(responder);
+    exchange.arrived = now;
+    carryOut(m_router.arrive(head.request, now));
+    armTimer();
+}
+
+void GatewayTraffic::callerLeft(std::uint64_t id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end())
+        return;
+    m_metrics.requestsAbandoned.Increment();
+    m_events.record(Severity::Info, core::events::gatewayRequestEnded,
+                    "request=" + found->second.requestId + " end=caller_left after_ms="
+                        + std::to_string(milliseconds(bootTime() - found->second.arrived)) + found->second.route);
+    carryOut(m_router.callerLeft(id, bootTime()));
+    m_exchanges.erase(id);
+}
+
+http::Response GatewayTraffic::rejection(int status, const std::string &detail, const std::string &peer)
+{
+    m_events.record(Severity::Warning, core::events::gatewayRequestEnded,
+                    "peer=" + peer + " end=rejected status=" + std::to_string(status) + " reason=\"" + detail + "\"");
+    return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
+}
+
+void GatewayTraffic::carryOut(const core::GatewayRouter::Effects &effects)
+{
+    for (const core::GatewayEffect &effect : effects)
+        std::visit([this](const auto &concrete) { act(concrete); }, effect);
+}
+
+void GatewayTraffic::act(const core::SendToTarget &effect)
+{
+    const auto found = m_exchanges.find(effect.id);
+    if (found == m_exchanges.end())
+        return;
+    Exchange &exchange = found->second;
+    exchange.route += " try=" + effect.target.id + "@" + std::to_string(milliseconds(bootTime() - exchange.arrived));
+    const http::Request message = m_dialect->forTarget(exchange.message, effect);
+    const http::ExchangeOptions options = m_dialect->options(exchange.message, effect);
+    const auto id = m_client.send(effect.address, message, options,
+                                  [this, request = effect.id, attempt = effect.attempt](const http::ExchangeEnd &end) {
+                                      attemptEnded(request, attempt, end);
+                                  });
+    exchange.sends[effect.attempt] = id;
+}
+
+void GatewayTraffic::attemptEnded(core::RequestId id, std::uint32_t attempt, const http::ExchangeEnd &end)
+{
+    core::GatewayAttemptEnd read = m_dialect->readEnd(end);
+    read.id = id;
+    read.attempt = attempt;
+    const auto found = m_exchanges.find(id);
+    if (found != m_exchanges.end()) {
+        Exchange &exchange = found->second;
+        exchange.sends.erase(attempt);
+        exchange.route += std::string(" ") + nameOf(read.end) + (read.isServerError ? "_error" : "") + "@"
+            + std::to_string(milliseconds(bootTime() - exchange.arrived));
+        if (end.step == http::ExchangeStep::Complete)
+            exchange.answer = end.response;
+        else
+            exchange.route += " reason=\"" + end.detail + "\"";
+    }
+    carryOut(m_router.finish(read, bootTime()));
+}
+
+void GatewayTraffic::act(const core::CancelSend &effect)
+{
+    const auto found = m_exchanges.find(effect.id);
+    if (found == m_exchanges.end())
+        return;
+    if (const auto send = found->second.sends.find(effect.attempt); send != found->second.sends.end())
+        m_client.cancel(send->second);
+}
+
+void GatewayTraffic::act(const core::ForwardAnswer &effect)
+{
+    const auto found = m_exchanges.find(effect.id);
+    if (found == m_exchanges.end())
+        return;
+    Exchange exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    const core::Duration taken = bootTime() - exchange.arrived;
+    m_metrics.requestsDone.Increment();
+    m_metrics.requestSeconds.Observe(std::chrono::duration<double>(taken).count());
+    m_events.record(Severity::Debug, core::events::gatewayRequestEnded,
+                    "request=" + exchange.requestId + " end=answered status=" + std::to_string(exchange.answer.status)
+                        + " after_ms=" + std::to_string(milliseconds(taken)) + exchange.route);
+    exchange.responder->send(m_dialect->forCaller(std::move(exchange.answer), exchange.message));
+}
+
+void GatewayTraffic::act(const core::EndRequest &effect)
+{
+    const auto found = m_exchanges.find(effect.id);
+    if (found == m_exchanges.end())
+        return;
+    Exchange exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    const int status = statusOf(effect);
+    (effect.mayHaveRun ? m_metrics.requestsUnknown : m_metrics.requestsNotRun).Increment();
+    m_events.record(Severity::Info, core::events::gatewayRequestEnded,
+                    "request=" + exchange.requestId + " end=" + nameOf(effect.fault) + " status=" + std::to_string(status)
+                        + " config=" + std::to_string(m_router.configVersion()) + " after_ms="
+                        + std::to_string(milliseconds(bootTime() - exchange.arrived)) + " retry_after_ms="
+                        + std::to_string(milliseconds(effect.retryAfter)) + " detail=\"" + effect.detail + "\""
+                        + exchange.route);
+    http::Response response{status, {{"Content-Type", "text/plain"}}, std::string(nameOf(effect.fault)) + "\n"};
+    if (status == statusUnavailable && effect.retryAfter > core::Duration(0))
+        response.headers.emplace_back("Retry-After", secondsText(effect.retryAfter));
+    exchange.responder->send(m_dialect->ownAnswer(std::move(response), exchange.message));
+}
+
+void GatewayTraffic::act(const core::OwnerRefused &effect)
+{
+    m_tellControl(effect); // A full ring loses it: the next refusal tells again.
+}
+
+void GatewayTraffic::armTimer()
+{
+    if (m_isTimerArmed)
+        return;
+    m_isTimerArmed = true;
+    m_timer.expires_after(timerStep);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        m_isTimerArmed = false;
+        if (!error)
+            onTimer();
+    });
+}
+
+void GatewayTraffic::onTimer()
+{
+    const core::Time now = bootTime();
+    carryOut(m_router.tick(now));
+    reportLoad(now);
+    if (m_router.activeRequests() != 0)
+        armTimer();
+}
+
+void GatewayTraffic::reportLoad(core::Time now)
+{
+    if (now - m_lastLoadReport < loadReportPeriod)
+        return;
+    m_lastLoadReport = now;
+    for (const std::string &service : m_shardedServices) {
+        auto load = m_router.takeKeyLoad(service);
+        if (!load.empty())
+            m_tellControl(ServiceKeyLoad{service, {std::move(load), m_router.latencies(service)}});
+    }
+}
+
+} // namespace sardinehinge::daemon
--- /dev/null
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "gatewaymessages.h"
+
+#include <sardinehinge/daemon/eventlog.h>
+#include <sardinehinge/daemon/metrics.h>
+#include <sardinehinge/daemon/ring.h>
+#include <sardinehinge/daemon/worker.h>
+#include <sardinehinge/edges/gatewayedges.h>
+#include <sardinehinge/http/client.h>
+#include <sardinehinge/http/server.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <set>
+#include <unordered_map>
+
+namespace sardinehinge::daemon {
+
+/// Serves callers: reads requests, carries out what core::GatewayRouter decides, and writes answers. One thread does all
+/// of it, since a request would otherwise pay two changes of thread on instances with a fifth of a core.
+class GatewayTraffic : private http::RequestHandler
+{
+public:
+    GatewayTraffic(const edges::GatewaySettings &settings, std::unique_ptr<edges::RequestDialect> dialect,
+                   EventLog &events, Metrics &metrics, std::function<bool(FromTraffic)> tellControl);
+    ~GatewayTraffic() override;
+
+    core::Result<core::Done> start();
+    void stop() { m_worker.stop(); }
+
+    /// From the control duty.
+    Ring<ToTraffic> &updates() noexcept { return m_updates; }
+    /// Changed bounds. Safe to call from every thread.
+    void applySettings(const edges::GatewaySettings &settings);
+    /// Not ready any more; each answer closes its connection. Safe to call from every thread.
+    void announceDrain();
+    /// Closes the listener and idle connections. Safe to call from every thread.
+    void drain();
+    /// Open connections of callers. Safe to call from every thread.
+    std::size_t connections() const noexcept { return m_callers.connections(); }
+
+private:
+    /// Answers whether the balancer may send callers here.
+    class ReadyHandler : public http::RequestHandler
+    {
+    public:
+        explicit ReadyHandler(const GatewayTraffic &traffic)
+            : m_traffic(traffic)
+        {
+        }
+        void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
+        void callerLeft(std::uint64_t) override { }
+        http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
+
+    private:
+        const GatewayTraffic &m_traffic;
+    };
+
+    /// A caller's request while it is under way.
+    struct Exchange
+    {
+        http::Request message;
+        std::string requestId;
+        std::shared_ptr<http::Responder> responder;
+        core::Time arrived{};
+        std::string route; ///< What the attempts were: targets and ends, for the log.
+        std::map<std::uint32_t, http::Client::ExchangeId> sends; ///< By attempt.
+        http::Response answer; ///< Of the latest attempt that was answered.
+    };
+
+    void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
+    void callerLeft(std::uint64_t exchange) override;
+    http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
+
+    void take(const GatewayConfigUpdate &update);
+    void take(const GatewayTargetsUpdate &update);
+    void take(const GatewayOwnersUpdate &update);
+    void take(const GatewayDaemonsUpdate &update);
+    void carryOut(const core::GatewayRouter::Effects &effects);
+    void act(const core::SendToTarget &effect);
+    void act(const core::CancelSend &effect);
+    void act(const core::ForwardAnswer &effect);
+    void act(const core::EndRequest &effect);
+    void act(const core::OwnerRefused &effect);
+    void attemptEnded(core::RequestId id, std::uint32_t attempt, const http::ExchangeEnd &end);
+    void armTimer();
+    void onTimer();
+    void reportLoad(core::Time now);
+    bool isReady() const noexcept { return m_isReady.load(); }
+    http::ServerLimits serverLimits() const;
+
+    edges::GatewaySettings m_settings;
+    std::unique_ptr<edges::RequestDialect> m_dialect;
+    EventLog &m_events;
+    Metrics &m_metrics;
+    std::function<bool(FromTraffic)> m_tellControl;
+    Worker m_worker{"traffic"};
+    boost::asio::steady_timer m_timer;
+    bool m_isTimerArmed = false;
+    ReadyHandler m_readyHandler;
+    http::Server m_callers;
+    http::Server m_readiness;
+    http::Client m_client;
+    core::GatewayRouter m_router;
+    core::CallerBounds m_bounds;
+    Ring<ToTraffic> m_updates;
+    std::unordered_map<std::uint64_t, Exchange> m_exchanges;
+    std::set<std::string> m_shardedServices;
+    core::Time m_lastLoadReport{};
+    bool m_hasTargets = false;
+    std::atomic<bool> m_isReady = false;
+    std::atomic<bool> m_isStopping = false;
+};
+
+} // namespace sardinehinge::daemon
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 #include <sardinehinge/daemon/daemon.h>
 #include <sardinehinge/daemon/eventlog.h>
+#include <sardinehinge/daemon/gateway.h>
 #include <sardinehinge/daemon/settings.h>
 
 #include <QCoreApplication>
@@ -15,18 +16,43 @@
 constexpr int exitBadSettings = 2;
 constexpr const char *version = "sardinehinged 0.1.0";
 
-/// Blocks SIGTERM and SIGINT for all threads and returns a descriptor that reports them, or -1.
+/// Blocks SIGTERM, SIGINT and SIGHUP for all threads and returns a descriptor that reports them, or -1.
 int openSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     if (pthread_sigmask(SIG_BLOCK, &signals, nullptr) != 0)
         return -1;
     return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
 }
 
+/// Serves on a hosting platform until a signal to stop; the program's exit status.
+int runGateway(int argc, char **argv, const std::string &settingsPath)
+{
+    using namespace sardinehinge;
+    const int signals = openSignals();
+    QCoreApplication application(argc, argv);
+    daemon::Gateway gateway(settingsPath);
+    if (const auto started = gateway.start(); core::errorIn(started) != nullptr) {
+        const core::Error &error = *core::errorIn(started);
+        std::cerr << "sardinehinged: " << error.step << ' ' << error.peer << ": " << error.detail << '\n';
+        daemon::flushGatewayLog();
+        return exitBadSettings;
+    }
+    QSocketNotifier notifier(signals, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, [&gateway, signals] {
+        signalfd_siginfo received{};
+        while (read(signals, &received, sizeof(received)) == sizeof(received))
+            received.ssi_signo == SIGHUP ? gateway.reload() : gateway.drain();
+    });
+    const int status = QCoreApplication::exec();
+    daemon::flushGatewayLog();
+    return status;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -48,6 +74,8 @@
     if (request != daemon::Request::Run)
         return 0;
 
+    if (!settings.platformSettings.empty())
+        return runGateway(argc, argv, settings.platformSettings);
     const int signals = openSignals();
     QCoreApplication application(argc, argv);
     daemon::initialiseLog(settings.logLevel, settings.id);
@@ -60,8 +88,10 @@
     QSocketNotifier notifier(signals, QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, [&running, signals] {
         signalfd_siginfo received{};
-        while (read(signals, &received, sizeof(received)) == sizeof(received))
-            running.drain();
+        while (read(signals, &received, sizeof(received)) == sizeof(received)) {
+            if (received.ssi_signo != SIGHUP) // The settings come from flags and variables: nothing to read again.
+                running.drain();
+        }
     });
     return QCoreApplication::exec();
 }
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -53,6 +53,11 @@
     return error || fault != std::errc() || parsed != end || port == 0 ? rule : std::string();
 }
 
+std::string checkFile(const std::string &value)
+{
+    return value.empty() ? "must name a file" : std::string();
+}
+
 std::string checkUrl(const std::string &value)
 {
     static const std::string scheme = "http://";
@@ -107,6 +112,8 @@
          textSetting(&Settings::operatorAddress, checkAddress)},
         {"platform-url", "URL", "Object store and instance list (required)",
          textSetting(&Settings::platformUrl, checkUrl)},
+        {"settings", "FILE", "Settings file of a hosting platform, which tells all the rest",
+         textSetting(&Settings::platformSettings, checkFile)},
         {"log-level", "LEVEL", "debug, info, warning or error; default info", applyLogLevel},
         {"drain-notice-ms", "MS", "Time between unready and the end of accepting at a stop; default 1000",
          numberSetting(0, maxDrainMs, [](Settings &s, std::int64_t n) { s.drainNotice = milliseconds(n); })},
@@ -226,6 +233,8 @@
         if (const std::string rule = entry.apply(parsed.settings, found->second.value); !rule.empty())
             return settingError(found->second.source, found->second.value, rule);
     }
+    if (given.contains("settings"))
+        return parsed;
     for (const char *required : {"id", "failure-domain", "platform-url"}) {
         if (!given.contains(required))
             return settingError(std::string("--") + required, {},
--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <utility>
 
 namespace sardinehinge::http {
 
@@ -39,9 +41,25 @@
     bool operator==(const ClientLimits &) const = default;
 };
 
+/// How one request is to be exchanged.
+struct ExchangeOptions
+{
+    core::Duration timeout = core::Duration(std::chrono::seconds(1)); ///< For the whole exchange.
+    /// A header that the peer repeats in its answer. An answer without it, or with another value, belongs to an earlier
+    /// request: it is dropped, and the connection is read on.
+    std::optional<std::pair<std::string, std::string>> echo;
+    /// An open connection that has been idle for longer isn't used: the peer may just be closing it.
+    core::Duration maxIdle = core::Duration(std::chrono::seconds(60));
+    /// Takes an answer without a length as complete when the peer ends the connection in order.
+    bool acceptsUndelimited = false;
+
+    bool operator==(const ExchangeOptions &) const = default;
+};
+
 /// Exchanges requests with peers over kept-alive connections. It never sends a request twice, and its ends tell a
-/// request that certainly wasn't sent from one that may have arrived. An answer that only the end of the connection
-/// delimits counts as incomplete, since it can't be told from a truncated one. Single-threaded: use it on its
+/// request that certainly wasn't sent from one that may have arrived. Unless ExchangeOptions say
+/// otherwise, an answer that only the end of the connection delimits counts as incomplete: it can't be told from a
+/// truncated one. A `Host` header of the request goes before the peer's address. Single-threaded: use it on its
 /// io_context only.
 class Client
 {
@@ -56,6 +74,7 @@
 
     /// Sends `request` to `address` (IP number and port). `done` is called exactly once, within `timeout`.
     ExchangeId send(const std::string &address, const Request &request, core::Duration timeout, Callback done);
+    ExchangeId send(const std::string &address, const Request &request, const ExchangeOptions &options, Callback done);
     /// Closes the exchange's connection; its callback comes with the step reached. Unknown ids are ignored.
     void cancel(ExchangeId id);
     /// Connections open to all peers, idle ones included.
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -66,6 +66,8 @@
 
     /// Starts to accept on `address` (IP number and port); an error of step `listen` when that fails.
     core::Result<core::Done> listen(const std::string &address);
+    /// Bounds for requests that begin from now on.
+    void setLimits(const ServerLimits &limits);
     /// The port in use after listen().
     std::uint16_t port() const;
     /// From now on each answer closes its connection, so that callers go elsewhere of their own accord.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -21,8 +22,39 @@
 
 constexpr unsigned statusNoContent = 204; ///< Has no body by definition.
 
+constexpr int mostForeignAnswers = 4; ///< A connection with more answers to earlier requests is given up.
+constexpr std::chrono::seconds sweepPeriod(1); ///< Idle connections past their time are closed this often.
+
 class Exchange;
 using Stream = std::unique_ptr<beast::tcp_stream>;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// An open connection that nothing uses.
+struct IdleStream
+{
+    Stream stream;
+    SteadyTime since;
+    SteadyTime until; ///< The peer may close it from then on.
+};
+
+std::string_view toView(beast::string_view text) noexcept
+{
+    return {text.data(), text.size()};
+}
+
+/// How long a peer keeps an idle connection, from its Keep-Alive header: less than it says, since its clock started
+/// earlier.
+std::chrono::milliseconds keepAliveTime(std::string_view header)
+{
+    constexpr std::chrono::milliseconds unsaid(4000); // Shorter than the idle times that servers usually have.
+    const auto at = header.find("timeout=");
+    if (at == std::string_view::npos)
+        return unsaid;
+    int seconds = 0;
+    const std::string_view digits = header.substr(at + 8);
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::min(unsaid, std::chrono::milliseconds(seconds * 800));
+}
 
 /// Whether an idle connection has been closed by the peer, or has bytes on it that belong to no request.
 bool isStale(beast::tcp_stream &stream)
@@ -44,30 +76,50 @@
     {
     }
 
-    /// An open connection to `address` that nothing uses, or nullptr.
-    Stream takeIdle(const std::string &address)
+    /// An open connection to `address` that nothing has used for at most `maxIdle`, or nullptr.
+    Stream takeIdle(const std::string &address, core::Duration maxIdle)
     {
-        auto &streams = idle[address];
+        const auto now = std::chrono::steady_clock::now();
+        sweep(now);
+        const auto found = idle.find(address);
+        if (found == idle.end())
+            return nullptr;
+        auto &streams = found->second;
         while (!streams.empty()) {
-            Stream stream = std::move(streams.back());
+            if (now - streams.back().since > maxIdle)
+                return nullptr;
+            IdleStream entry = std::move(streams.back());
             streams.pop_back();
-            if (!isStale(*stream))
-                return stream;
+            if (now < entry.until && !isStale(*entry.stream))
+                return std::move(entry.stream);
         }
         return nullptr;
     }
 
-    void giveBack(const std::string &address, Stream stream)
+    void giveBack(const std::string &address, Stream stream, std::chrono::milliseconds keepFor)
     {
         auto &streams = idle[address];
+        const auto now = std::chrono::steady_clock::now();
         if (streams.size() < limits.idleConnections)
-            streams.push_back(std::move(stream));
+            streams.push_back({std::move(stream), now, now + keepFor});
+    }
+
+    /// Closes what has been idle for too long, so that peers that are gone cost no descriptors.
+    void sweep(SteadyTime now)
+    {
+        if (now < nextSweep)
+            return;
+        nextSweep = now + sweepPeriod;
+        for (auto &[address, streams] : idle)
+            std::erase_if(streams, [now](const IdleStream &entry) { return now >= entry.until; });
+        std::erase_if(idle, [](const auto &entry) { return entry.second.empty(); });
     }
 
     asio::io_context &context;
     ClientLimits limits;
     ExchangeId nextId = 1;
-    std::map<std::string, std::deque<Stream>> idle;
+    std::map<std::string, std::deque<IdleStream>> idle;
+    SteadyTime nextSweep;
     std::map<ExchangeId, std::shared_ptr<Exchange>> active;
 };
 
@@ -81,19 +133,24 @@
 {
 public:
     Exchange(std::weak_ptr<Client::State> state, Client::ExchangeId id, std::string address, const Request &request,
-             core::Duration timeout, Client::Callback done)
+             const ExchangeOptions &options, Client::Callback done)
         : m_state(std::move(state))
         , m_id(id)
         , m_address(std::move(address))
-        , m_deadline(std::chrono::steady_clock::now() + timeout)
+        , m_options(options)
+        , m_deadline(std::chrono::steady_clock::now() + options.timeout)
         , m_done(std::move(done))
     {
         m_message.method_string(request.method);
         m_message.target(request.target);
         m_message.version(11);
         m_message.set(beast::http::field::host, m_address);
-        for (const auto &[name, value] : request.headers)
-            m_message.insert(name, value);
+        for (const auto &[name, value] : request.headers) {
+            if (beast::iequals(name, "Host"))
+                m_message.set(beast::http::field::host, value);
+            else
+                m_message.insert(name, value);
+        }
         m_message.body() = request.body;
         m_message.prepare_payload();
     }
@@ -101,7 +158,7 @@
     void start()
     {
         const auto state = m_state.lock();
-        m_stream = state->takeIdle(m_address);
+        m_stream = state->takeIdle(m_address, m_options.maxIdle);
         if (m_stream)
             return write();
         const auto endpoint = internal::parseAddress(m_address);
@@ -159,11 +216,16 @@
     void finishRead()
     {
         const auto &head = m_parser->get();
+        if (m_options.echo && head[m_options.echo->first] != m_options.echo->second) {
+            if (m_parser->need_eof() || ++m_foreignAnswers > mostForeignAnswers)
+                return finish(ExchangeStep::Written, "the answer belongs to another request");
+            return read();
+        }
         const bool hasLength = head.has_content_length() || head.chunked() || head.result_int() == statusNoContent;
-        if (!hasLength)
+        if (!hasLength && !m_options.acceptsUndelimited)
             return finish(ExchangeStep::Answering, "the answer has no length");
         auto message = m_parser->release();
-        const bool keepAlive = message.keep_alive() && m_buffer.size() == 0;
+        const bool keepAlive = hasLength && message.keep_alive() && m_buffer.size() == 0;
         ExchangeEnd end{
             ExchangeStep::Complete, {static_cast<int>(message.result_int()), {}, std::move(message.body())}, {}};
         for (const auto &field : message)
@@ -171,7 +233,8 @@
         const auto state = m_state.lock();
         if (state && keepAlive) {
             m_stream->expires_never();
-            state->giveBack(m_address, std::move(m_stream));
+            const auto keepFor = keepAliveTime(toView(message[beast::http::field::keep_alive]));
+            state->giveBack(m_address, std::move(m_stream), keepFor);
         }
         report(std::move(end));
     }
@@ -195,7 +258,9 @@
     std::weak_ptr<Client::State> m_state;
     Client::ExchangeId m_id;
     std::string m_address;
-    std::chrono::steady_clock::time_point m_deadline;
+    ExchangeOptions m_options;
+    SteadyTime m_deadline;
+    int m_foreignAnswers = 0;
     Client::Callback m_done;
     Message m_message;
     Stream m_stream;
@@ -214,9 +279,17 @@
 
 Client::ExchangeId Client::send(const std::string &address, const Request &request, core::Duration timeout,
                                 Callback done)
+{
+    ExchangeOptions options;
+    options.timeout = timeout;
+    return send(address, request, options, std::move(done));
+}
+
+Client::ExchangeId Client::send(const std::string &address, const Request &request, const ExchangeOptions &options,
+                                Callback done)
 {
     const ExchangeId id = m_state->nextId++;
-    auto exchange = std::make_shared<Exchange>(m_state, id, address, request, timeout, std::move(done));
+    auto exchange = std::make_shared<Exchange>(m_state, id, address, request, options, std::move(done));
     m_state->active.emplace(id, exchange);
     exchange->start();
     return id;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -360,6 +360,11 @@
     return m_state->acceptor.local_endpoint(ignored).port();
 }
 
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_state->limits = limits;
+}
+
 void Server::announceClose()
 {
     m_state->isClosing = true;
--- /dev/null
+++ b/packages/protocol/gateway.thrift
@@ -0,0 +1,72 @@
+// Datagrams between gateway daemons. Each stands alone: loss, doubling and reordering are harmless.
+namespace cpp sardinehinge.gatewaywire
+
+struct OwnedPart {
+  1: i32 last,    // The first key is the one after the part before.
+  2: i16 owner,   // Index into the table of owners.
+  3: i8 state,
+}
+
+struct Owners {
+  1: string group,
+  2: i64 term,
+  3: i64 sequence,
+  4: list<string> owners,
+  5: list<OwnedPart> parts,
+}
+
+struct Beat {
+  1: string group,
+  2: i64 term,
+  3: i64 sequence,
+  4: i64 storeAgeMs,
+  5: bool isLeaving,
+}
+
+struct Resigned {
+  1: string group,
+  2: i64 term,
+}
+
+struct OwnersWanted {
+  1: string group,
+}
+
+struct KeyCount {
+  1: i32 key,
+  2: i32 count,
+}
+
+struct Latency {
+  1: string target,
+  2: i32 microseconds,
+}
+
+struct Load {
+  1: string group,
+  2: list<KeyCount> keys,
+  3: list<Latency> latencies,
+}
+
+struct Refused {
+  1: string group,
+  2: string target,
+  3: i32 key,
+}
+
+struct Hello {
+  1: string address,
+  2: bool isReply,
+}
+
+struct Datagram {
+  1: string sender,
+  2: i64 incarnation,
+  3: optional Owners owners,
+  4: optional Beat beat,
+  5: optional Resigned resigned,
+  6: optional OwnersWanted wanted,
+  7: optional Load load,
+  8: optional Refused refused,
+  9: optional Hello hello,
+}
--- /dev/null
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/result.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sardinehinge::protocol {
+
+/// Asks the controller of a service for its latest announcement.
+struct OwnersWanted
+{
+    std::string service;
+
+    bool operator==(const OwnersWanted &) const = default;
+};
+
+/// One daemon's requests by key, to the controller of the service.
+struct LoadMessage
+{
+    std::string service;
+    std::map<std::uint32_t, std::uint32_t> requests;
+    std::map<std::string, core::Duration> latencies; ///< By target; carried in microseconds.
+
+    bool operator==(const LoadMessage &) const = default;
+};
+
+/// A target refused a key that it should own.
+struct RefusedMessage
+{
+    std::string service;
+    std::string target;
+    std::uint32_t key = 0;
+
+    bool operator==(const RefusedMessage &) const = default;
+};
+
+/// Makes a daemon known to another.
+struct Hello
+{
+    std::string address; ///< IP number and UDP port of the sender.
+    bool isReply = false;
+
+    bool operator==(const Hello &) const = default;
+};
+
+using GatewayMessage = std::variant<core::RangeOwners, core::ControlBeat, core::ControlResigned, OwnersWanted, LoadMessage,
+                                    RefusedMessage, Hello>;
+
+/// A message and who sent it. The `from` fields of beats and resignations are the sender's id.
+struct GatewayDatagram
+{
+    core::DaemonIdentity sender;
+    GatewayMessage message;
+
+    bool operator==(const GatewayDatagram &) const = default;
+};
+
+std::string encode(const GatewayDatagram &datagram);
+/// An error of step `decode` when the bytes are no datagram with exactly one message, or a value is out of its range.
+core::Result<GatewayDatagram> decodeGateway(std::string_view bytes);
+
+} // namespace sardinehinge::protocol
--- /dev/null
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -0,0 +1,213 @@
+#include <sardinehinge/protocol/gatewaycodec.h>
+
+#include "thriftbuffer.h"
+
+#include <gateway_types.h>
+
+#include <optional>
+#include <utility>
+
+namespace sardinehinge::protocol {
+
+namespace {
+
+std::int64_t toWire(std::uint64_t value) noexcept
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::uint64_t fromWire(std::int64_t value) noexcept
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+/// Puts each kind of message into its field of the datagram.
+struct MessageWriter
+{
+    gatewaywire::Datagram &out;
+
+    void operator()(const core::RangeOwners &message) const
+    {
+        gatewaywire::Owners owners;
+        owners.__set_group(message.service);
+        owners.__set_term(toWire(message.term));
+        owners.__set_sequence(toWire(message.sequence));
+        std::map<std::string, std::int16_t> indices;
+        for (const core::RoutedRange &range : message.ranges) {
+            const auto [entry, isNew]
+                = indices.emplace(range.owner, static_cast<std::int16_t>(owners.owners.size()));
+            if (isNew)
+                owners.owners.push_back(range.owner);
+            gatewaywire::OwnedPart part;
+            part.__set_last(static_cast<std::int32_t>(range.range.last));
+            part.__set_owner(entry->second);
+            part.__set_state(static_cast<std::int8_t>(range.state));
+            owners.parts.push_back(part);
+        }
+        owners.__isset.owners = owners.__isset.parts = true;
+        out.__set_owners(owners);
+    }
+
+    void operator()(const core::ControlBeat &message) const
+    {
+        gatewaywire::Beat beat;
+        beat.__set_group(message.service);
+        beat.__set_term(toWire(message.term));
+        beat.__set_sequence(toWire(message.sequence));
+        beat.__set_storeAgeMs(std::chrono::duration_cast<std::chrono::milliseconds>(message.storeAge).count());
+        beat.__set_isLeaving(message.isLeaving);
+        out.__set_beat(beat);
+    }
+
+    void operator()(const core::ControlResigned &message) const
+    {
+        gatewaywire::Resigned resigned;
+        resigned.__set_group(message.service);
+        resigned.__set_term(toWire(message.term));
+        out.__set_resigned(resigned);
+    }
+
+    void operator()(const OwnersWanted &message) const
+    {
+        gatewaywire::OwnersWanted wanted;
+        wanted.__set_group(message.service);
+        out.__set_wanted(wanted);
+    }
+
+    void operator()(const LoadMessage &message) const
+    {
+        gatewaywire::Load load;
+        load.__set_group(message.service);
+        for (const auto &[key, count] : message.requests) {
+            gatewaywire::KeyCount entry;
+            entry.__set_key(static_cast<std::int32_t>(key));
+            entry.__set_count(static_cast<std::int32_t>(count));
+            load.keys.push_back(entry);
+        }
+        for (const auto &[target, latency] : message.latencies) {
+            gatewaywire::Latency entry;
+            entry.__set_target(target);
+            entry.__set_microseconds(static_cast<std::int32_t>(
+                std::chrono::duration_cast<std::chrono::microseconds>(latency).count()));
+            load.latencies.push_back(entry);
+        }
+        load.__isset.keys = load.__isset.latencies = true;
+        out.__set_load(load);
+    }
+
+    void operator()(const RefusedMessage &message) const
+    {
+        gatewaywire::Refused refused;
+        refused.__set_group(message.service);
+        refused.__set_target(message.target);
+        refused.__set_key(static_cast<std::int32_t>(message.key));
+        out.__set_refused(refused);
+    }
+
+    void operator()(const Hello &message) const
+    {
+        gatewaywire::Hello hello;
+        hello.__set_address(message.address);
+        hello.__set_isReply(message.isReply);
+        out.__set_hello(hello);
+    }
+};
+
+bool isKey(std::int32_t value) noexcept
+{
+    return value >= 0 && value <= static_cast<std::int32_t>(core::lastKey);
+}
+
+std::optional<GatewayMessage> readOwners(const gatewaywire::Owners &in)
+{
+    core::RangeOwners owners{in.group, fromWire(in.term), fromWire(in.sequence), {}};
+    std::uint32_t first = 0;
+    for (const gatewaywire::OwnedPart &part : in.parts) {
+        const bool isValid = isKey(part.last) && static_cast<std::uint32_t>(part.last) >= first && part.owner >= 0
+            && static_cast<std::size_t>(part.owner) < in.owners.size() && part.state >= 0
+            && part.state <= static_cast<std::int8_t>(core::RangeState::Away);
+        if (!isValid)
+            return std::nullopt;
+        const auto last = static_cast<std::uint32_t>(part.last);
+        owners.ranges.push_back({{first, last},
+                                 in.owners[static_cast<std::size_t>(part.owner)],
+                                 static_cast<core::RangeState>(part.state)});
+        first = last + 1;
+    }
+    return owners;
+}
+
+std::optional<GatewayMessage> readLoad(const gatewaywire::Load &in)
+{
+    LoadMessage load{in.group, {}, {}};
+    for (const gatewaywire::KeyCount &entry : in.keys) {
+        if (!isKey(entry.key) || entry.count < 0)
+            return std::nullopt;
+        load.requests[static_cast<std::uint32_t>(entry.key)] += static_cast<std::uint32_t>(entry.count);
+    }
+    for (const gatewaywire::Latency &entry : in.latencies)
+        load.latencies[entry.target] = std::chrono::microseconds(entry.microseconds);
+    return load;
+}
+
+std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
+{
+    const auto &isset = in.__isset;
+    const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused + isset.hello;
+    if (count != 1)
+        return std::nullopt;
+    if (isset.owners)
+        return readOwners(in.owners);
+    if (isset.beat)
+        return core::ControlBeat{in.beat.group,
+                                 in.sender,
+                                 fromWire(in.beat.term),
+                                 fromWire(in.beat.sequence),
+                                 std::chrono::milliseconds(in.beat.storeAgeMs),
+                                 in.beat.isLeaving};
+    if (isset.resigned)
+        return core::ControlResigned{in.resigned.group, in.sender, fromWire(in.resigned.term)};
+    if (isset.wanted)
+        return OwnersWanted{in.wanted.group};
+    if (isset.load)
+        return readLoad(in.load);
+    if (isset.refused)
+        return isKey(in.refused.key)
+            ? std::optional<GatewayMessage>(RefusedMessage{in.refused.group, in.refused.target,
+                                                           static_cast<std::uint32_t>(in.refused.key)})
+            : std::nullopt;
+    return Hello{in.hello.address, in.hello.isReply};
+}
+
+core::Error decodeError(std::string detail)
+{
+    return {core::ErrorCode::BadRequest, "decode", {}, std::move(detail)};
+}
+
+} // namespace
+
+std::string encode(const GatewayDatagram &datagram)
+{
+    gatewaywire::Datagram out;
+    out.__set_sender(datagram.sender.id);
+    out.__set_incarnation(toWire(datagram.sender.incarnation));
+    std::visit(MessageWriter{out}, datagram.message);
+    return internal::toBytes(out);
+}
+
+core::Result<GatewayDatagram> decodeGateway(std::string_view bytes)
+{
+    if (bytes.size() > internal::datagramLimit)
+        return decodeError("larger than a datagram");
+    try {
+        const auto in = internal::fromBytes<gatewaywire::Datagram>(bytes);
+        auto message = readMessage(in);
+        if (!message || in.sender.empty())
+            return decodeError("no sender, or not one message with values in range");
+        return GatewayDatagram{{in.sender, fromWire(in.incarnation)}, std::move(*message)};
+    } catch (const std::exception &exception) {
+        return decodeError(exception.what());
+    }
+}
+
+} // namespace sardinehinge::protocol
--- a/packages/protocol/src/peercodec.cpp
+++ b/packages/protocol/src/peercodec.cpp
@@ -1,11 +1,9 @@
 #include <sardinehinge/protocol/peercodec.h>
 
+#include "thriftbuffer.h"
+
 #include <peer_types.h>
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
-#include <memory>
 #include <optional>
 #include <utility>
 
@@ -13,13 +11,6 @@
 
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
-constexpr int datagramLimit = 65'507; ///< Bytes; the largest UDP payload over IPv4.
-constexpr int nestingLimit = 8;
-
 std::int64_t toWire(std::uint64_t value) noexcept
 {
     return static_cast<std::int64_t>(value);
@@ -244,24 +235,15 @@
     out.__set_stampCount(static_cast<std::int32_t>(envelope.stamp.count));
     std::visit(BodyWriter{out.body}, envelope.message);
     out.__isset.body = true;
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
-    out.write(&protocol);
-    return buffer->getBufferAsString();
+    return internal::toBytes(out);
 }
 
 core::Result<Envelope> decode(std::string_view datagram)
 {
-    if (datagram.size() > datagramLimit)
+    if (datagram.size() > internal::datagramLimit)
         return decodeError("larger than a datagram");
     try {
-        const auto configuration = std::make_shared<TConfiguration>(datagramLimit, datagramLimit, nestingLimit);
-        auto *bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(datagram.data()));
-        const auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(datagram.size()),
-                                                            TMemoryBuffer::OBSERVE, configuration);
-        TCompactProtocol protocol(buffer, datagramLimit, datagramLimit);
-        wire::Envelope in;
-        in.read(&protocol);
+        const auto in = internal::fromBytes<wire::Envelope>(datagram);
         auto message = readBody(in.body);
         if (!message || in.sender.id.empty())
             return decodeError("no sender or no known message");
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../packages/protocol"
 thrift --gen cpp:no_skeleton,moveable_types -out generated peer.thrift
+thrift --gen cpp:no_skeleton,moveable_types -out generated gateway.thrift
