--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -112,8 +112,8 @@
     RetryAllowance retries;
     double waitShare = 0.4; ///< Part of the aim that a request may wait for room: beyond, a refusal serves better.
     Duration ownerWait = std::chrono::milliseconds(500); ///< For keys on the move: the rest of the work on them.
-    Duration refusedOwnerWait = std::chrono::milliseconds(60); ///< Before a key's refused owner is tried again: the time
-                                                               ///< in which an announcement or a grant arrives.
+    Duration refusedOwnerWait = std::chrono::milliseconds(60); ///< Before a key's refused owner is tried again: the
+                                                               ///< time in which an announcement or a grant arrives.
     Duration timeoutGrace = std::chrono::milliseconds(80); ///< A target's own last word may take this long to come.
     Duration awayRetry = std::chrono::milliseconds(700); ///< Told to callers of lost keys: about half a lease.
     std::size_t waiting = 2000; ///< Most requests that wait at once.
@@ -121,7 +121,8 @@
     bool operator==(const GatewayLimits &) const = default;
 };
 
-/// Takes each request from arrival to one end: a target's whole answer, or one of ours that says whether it may have run.
+/// Takes each request from arrival to one end: a target's whole answer, or one of ours that says whether it may have
+/// run.
 ///
 /// Pure. Every arrived request ends in exactly one ForwardAnswer or EndRequest, unless the caller left. A request that
 /// isn't idempotent is sent again only after an attempt that certainly did not run. Meant for loads with crests above
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -8,8 +8,8 @@
 #include <set>
 #include <variant>
 
-/// Who owns which keys of a sharded service, for targets that count a lease from the arrival of a grant and refuse fences
-/// lower than the highest they have seen.
+/// Who owns which keys of a sharded service, for targets that count a lease from the arrival of a grant and refuse
+/// fences lower than the highest they have seen.
 namespace sardinehinge::core {
 
 /// Periods and bounds of ownership. docs/DESIGN.md derives them.
@@ -19,8 +19,10 @@
     double clockSlack = 1.025; ///< A target's clock may run 2% slow, ours 0.5%.
     Duration renewEvery = std::chrono::milliseconds(500); ///< A quarter of the lease: three losses in a row are borne.
     Duration orderTimeout = std::chrono::milliseconds(600); ///< Targets with long queues answer within this.
-    Duration secondOrder = std::chrono::milliseconds(250); ///< Without an answer, another order is sent beside the first.
-    Duration lostAfter = std::chrono::milliseconds(1200); ///< Without an answer for so long a target gets no more orders.
+    Duration secondOrder
+        = std::chrono::milliseconds(250); ///< Without an answer, another order is sent beside the first.
+    Duration lostAfter
+        = std::chrono::milliseconds(1200); ///< Without an answer for so long a target gets no more orders.
     Duration releaseTimeout = std::chrono::milliseconds(4000); ///< A release waits for the work under way.
     Duration authority = std::chrono::seconds(20); ///< Without word from the store, a controller renews for this long:
                                                    ///< twice the longest outages that the users list.
@@ -31,8 +33,8 @@
     Duration storeSilence = std::chrono::milliseconds(2500); ///< A controller that hears nothing from the store for so
                                                              ///< long should be replaced by one that does.
     Duration storeRetry = std::chrono::milliseconds(400); ///< Between two tries of a failed call to the store.
-    Duration writeTimeout = std::chrono::milliseconds(2500); ///< Then a write is read back; the slowest answers that the
-                                                             ///< users list take 240 ms.
+    Duration writeTimeout = std::chrono::milliseconds(2500); ///< Then a write is read back; the slowest answers that
+                                                             ///< the users list take 240 ms.
     Duration avoidTime = std::chrono::seconds(3); ///< A lost target gets no ranges for this long.
     Duration planEvery = std::chrono::milliseconds(500);
     double loadMemory = 0.75; ///< Part of the key load that is kept from one planning period to the next.
@@ -133,9 +135,9 @@
 {
 };
 
-using ControlEvent = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
-                                  ControlBeat, ControlResigned, ControlTargets, ControlPeers, OrderEnded, KeyLoadReport,
-                                  KeyRefused, ControlStop>;
+using ControlEvent
+    = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict, ControlBeat,
+                   ControlResigned, ControlTargets, ControlPeers, OrderEnded, KeyLoadReport, KeyRefused, ControlStop>;
 
 // Effects.
 
@@ -188,8 +190,8 @@
     std::string detail;
 };
 
-using ControlEffect = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendBeat, SendResigned,
-                                   ControlNote>;
+using ControlEffect
+    = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendBeat, SendResigned, ControlNote>;
 
 /// One daemon's part in the ownership of one sharded service's keys.
 ///
@@ -199,6 +201,7 @@
 /// - Fences rise with the term, so a controller's first grant to a target ends all that earlier ones may still send.
 /// - A key leaves a target after that target answered a release, or after the longest lease that any controller may
 ///   have given it has surely ended, or when the store shows a later life of the target.
+/// - A controller that was paused for long enough to be replaced asks the store before it orders anything.
 /// - A controller that hasn't heard from the store for `authority` gives no grants; a later one counts on that.
 class RangeControl
 {
@@ -272,8 +275,12 @@
     void startControl();
     void stepDown(const std::string &why);
     void followerSees(const OwnershipRecord &record, std::uint64_t revision);
+    bool isOwn(const OwnershipRecord &record) const noexcept;
+    void takeOwnWrite(const OwnershipRecord &record, std::uint64_t revision);
     std::size_t rank() const;
     bool isEarlierControllerGone(const OwnershipRecord &record) const;
+    /// Whether the store has named this daemon since its last pause.
+    bool isConfirmed() const noexcept { return m_confirmedAt >= m_confirmFrom; }
     void beatIfDue();
     void confirmIfDue();
 
@@ -329,7 +336,8 @@
     std::map<std::string, Time> m_avoidUntil; ///< Targets that just didn't answer: they get no new ranges until then.
 
     // Of the controller.
-    OwnershipRecord m_written; ///< As in the store.
+    OwnershipRecord m_written; ///< As in the store, when this daemon last controlled the service.
+    std::uint64_t m_resignedTo = 0; ///< Latest term whose controller was told that this one has ended.
     OwnershipRecord m_pending; ///< In the write under way.
     std::uint64_t m_revision = 0;
     std::optional<OwnershipRecord> m_previous; ///< The record that was taken over.
@@ -338,6 +346,7 @@
     Time m_nextRead = 0ms;
     Time m_nextWrite = 0ms;
     Time m_confirmedAt = 0ms; ///< The store is known to have named this daemon after this time.
+    Time m_confirmFrom = 0ms; ///< End of the last pause of this process.
     Time m_nextBeat = 0ms;
     Time m_nextPlan = 0ms;
     Time m_inheritedUntil = 0ms; ///< Leases of earlier controllers have ended by then.
--- a/packages/core/include/sardinehinge/core/rangeplanner.h
+++ b/packages/core/include/sardinehinge/core/rangeplanner.h
@@ -53,7 +53,7 @@
 /// Limits of one planning step.
 struct PlanLimits
 {
-    std::size_t moves = 4; ///< At most this many at a time: each keeps keys away for a moment.
+    std::size_t moves = 8; ///< At most this many at a time: each keeps keys away for a moment.
     double tolerance = 1.2; ///< A target is relieved above this multiple of the mean use.
     std::size_t rangesPerTarget = 6; ///< A target with more gets no further piece: every range is renewed by itself.
 
--- a/packages/core/include/sardinehinge/core/targetregistry.h
+++ b/packages/core/include/sardinehinge/core/targetregistry.h
@@ -12,7 +12,7 @@
 struct RegistryTiming
 {
     Duration goneDelay = std::chrono::milliseconds(1000); ///< Half the shortest drain bound of the users' sites.
-    Duration returnGrace = std::chrono::milliseconds(2300); ///< After an outage of the store, lapsed entries are back
+    Duration returnGrace = std::chrono::milliseconds(2100); ///< After an outage of the store, lapsed entries are back
                                                             ///< within two seconds.
 
     bool operator==(const RegistryTiming &) const = default;
@@ -20,8 +20,9 @@
 
 /// The targets that the platform's registry shows, and those whose entries may only have lapsed. Pure.
 ///
-/// An entry can vanish because its target left, or because the store was away for longer than the entry lives. A vanished
-/// entry is therefore kept for a while: a moment normally, or until lapsed entries must be back after an outage.
+/// An entry can vanish because its target left, or because the store was away for longer than the entry lives. A
+/// vanished entry is therefore kept for a while: a moment normally, or until lapsed entries must be back after an
+/// outage.
 class TargetRegistry
 {
 public:
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -148,10 +148,10 @@
 GatewayRouter::Placement GatewayRouter::placeByKey(const Request &request, Service &service, Time now)
 {
     const RoutedRange *range = service.owners.find(*request.head.key);
+    if (range != nullptr && range->state == RangeState::Moving)
+        return {nullptr, GatewayFault::NoOwner, true};
     if (range == nullptr || range->owner.empty() || range->state == RangeState::Away)
         return {nullptr, GatewayFault::NoOwner, false};
-    if (range->state == RangeState::Moving)
-        return {nullptr, GatewayFault::NoOwner, true};
     const auto target = service.targets.find(range->owner);
     if (target == service.targets.end())
         return {nullptr, GatewayFault::NoOwner, true};
@@ -293,7 +293,8 @@
         } else if (!placement.mayPass) {
             unqueue(request);
             refuse(request, placement.fault, "not served now",
-                   retryAfter(request, placement.fault == GatewayFault::NoOwner ? m_limits.awayRetry : request.route->aim));
+                   retryAfter(request,
+                              placement.fault == GatewayFault::NoOwner ? m_limits.awayRetry : request.route->aim));
         }
     }
 }
@@ -345,7 +346,8 @@
     const Placement placement = place(request, service, now);
     if (placement.target != nullptr && now >= request.notBefore)
         return send(request, *placement.target, now);
-    waitOrRefuse(request, placement.target != nullptr ? Placement{nullptr, GatewayFault::NoOwner, true} : placement, now);
+    waitOrRefuse(request, placement.target != nullptr ? Placement{nullptr, GatewayFault::NoOwner, true} : placement,
+                 now);
 }
 
 GatewayRouter::Effects GatewayRouter::finish(const GatewayAttemptEnd &end, Time now)
@@ -415,7 +417,9 @@
         Request &request = m_requests.at(id);
         if (request.isWaiting) {
             unqueue(request);
-            refuse(request, request.attempts != 0 || isSharded(request.service) ? GatewayFault::NoOwner : GatewayFault::Overloaded,
+            refuse(request,
+                   request.attempts != 0 || isSharded(request.service) ? GatewayFault::NoOwner
+                                                                       : GatewayFault::Overloaded,
                    "waited in vain", retryAfter(request, request.route->aim));
             continue;
         }
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -33,6 +33,9 @@
 
 RangeControl::Effects RangeControl::handle(const ControlEvent &event, Time now)
 {
+    // After a pause in which another daemon may have taken over, the store is asked before anything is ordered.
+    if (now - m_now > m_timing.controllerSilence)
+        m_confirmFrom = now;
     m_now = now;
     if (m_role == Role::Controller && now - m_confirmedAt > m_timing.authority)
         stepDown("no word from the store for too long");
@@ -95,16 +98,13 @@
 {
     m_isReading = false;
     if (m_role == Role::Controller) {
-        if (event.record && event.record->term == m_term && event.record->controller == m_self.id
-            && event.record->controllerIncarnation == m_self.incarnation) {
+        if (event.record && isOwn(*event.record)) {
             m_confirmedAt = std::max(m_confirmedAt, event.askedAt);
             // The answer to a write was lost: the record shows whether it took effect.
-            if (m_isWriting && event.revision != m_revision) {
-                m_revision = event.revision;
-                applyWritten();
-            } else if (m_isWriting && m_now >= m_nextWrite) {
+            if (event.revision != m_revision)
+                takeOwnWrite(*event.record, event.revision);
+            else if (m_isWriting && m_now >= m_nextWrite)
                 m_isWriting = false; // Written again under the same condition: only one of both can apply.
-            }
         } else {
             followerSees(event.record.value_or(OwnershipRecord{}), event.revision);
             stepDown("the store names another controller");
@@ -169,12 +169,36 @@
         on(OwnershipWritten{event.revision, m_confirmedAt});
         return;
     }
+    if (m_role == Role::Controller && isOwn(event.record)) {
+        takeOwnWrite(event.record, event.revision);
+        return;
+    }
     followerSees(event.record, event.revision);
     if (m_role == Role::Controller)
         stepDown("another write of the record came first");
     m_role = Role::Follower;
 }
 
+bool RangeControl::isOwn(const OwnershipRecord &record) const noexcept
+{
+    return record.term == m_written.term && record.controller == m_self.id
+        && record.controllerIncarnation == m_self.incarnation;
+}
+
+/// A write of this controller took effect without an answer: the one under way, or an earlier one that was given up.
+/// What the earlier one recorded was never granted, so it is only replaced.
+void RangeControl::takeOwnWrite(const OwnershipRecord &record, std::uint64_t revision)
+{
+    m_revision = revision;
+    if (m_isWriting && record == m_pending) {
+        applyWritten();
+        return;
+    }
+    m_written = record;
+    m_isWriting = false;
+    m_nextWrite = m_now;
+}
+
 void RangeControl::followerSees(const OwnershipRecord &record, std::uint64_t revision)
 {
     m_revision = revision;
@@ -214,8 +238,7 @@
     m_announced.clear();
     m_load = {};
     const bool isGone = !m_previous || isEarlierControllerGone(*m_previous);
-    m_inheritedUntil
-        = m_now + longestHold() + (isGone ? Duration(0) : m_timing.authority + m_timing.authority / 100);
+    m_inheritedUntil = m_now + longestHold() + (isGone ? Duration(0) : m_timing.authority + m_timing.authority / 100);
     m_entries.clear();
     for (const OwnedRange &owned : m_written.ranges) {
         Entry entry;
@@ -231,7 +254,8 @@
     m_nextBeat = m_now;
     note(events::rangeControlStarted,
          "term " + std::to_string(m_term) + " revision " + std::to_string(m_revision) + " ranges "
-             + std::to_string(m_entries.size()) + (isGone ? " previous controller gone" : " previous controller unknown"));
+             + std::to_string(m_entries.size())
+             + (isGone ? " previous controller gone" : " previous controller unknown"));
 }
 
 void RangeControl::stepDown(const std::string &why)
@@ -250,10 +274,12 @@
 {
     if (event.term < m_term || event.from == m_self.id)
         return;
-    if (event.term > m_term && m_role == Role::Controller) {
-        const std::uint64_t ended = m_written.term;
+    if (event.term > m_term && m_role == Role::Controller)
         stepDown(event.from + " controls term " + std::to_string(event.term));
-        m_effects.emplace_back(SendResigned{event.from, {m_service, m_self.id, ended}});
+    // Tells the new controller, once for each term, that nothing more comes from this one.
+    if (event.term > m_resignedTo && m_written.term != 0 && m_written.term < event.term && m_role == Role::Follower) {
+        m_resignedTo = event.term;
+        m_effects.emplace_back(SendResigned{event.from, {m_service, m_self.id, m_written.term}});
     }
     m_term = event.term;
     m_controller = event.from;
@@ -290,8 +316,7 @@
         OwnershipRecord resigned = m_written;
         resigned.isResigned = true;
         m_effects.emplace_back(WriteOwnership{resigned, m_revision});
-        m_effects.emplace_back(
-            SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, true}});
+        m_effects.emplace_back(SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, true}});
         note(events::rangeControlEnded, "term " + std::to_string(m_term) + ": the daemon stops");
     }
     m_role = Role::Stopped;
@@ -307,7 +332,8 @@
 
 void RangeControl::confirmIfDue()
 {
-    if (m_isReading || m_now < m_nextRead || m_now - m_confirmedAt < m_timing.confirmEvery)
+    const bool isDue = !isConfirmed() || m_now - m_confirmedAt >= m_timing.confirmEvery;
+    if (m_isReading || m_now < m_nextRead || !isDue)
         return;
     m_isReading = true;
     m_nextRead = m_now + m_timing.storeRetry;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -50,8 +50,8 @@
 {
     return std::any_of(m_orders.begin(), m_orders.end(), [&entry](const auto &item) {
         const OpenOrder &order = item.second;
-        return !order.isRelease && order.target.id == entry.owned.owner.id && order.range.first <= entry.owned.range.last
-            && entry.owned.range.first <= order.range.last;
+        return !order.isRelease && order.target.id == entry.owned.owner.id
+            && order.range.first <= entry.owned.range.last && entry.owned.range.first <= order.range.last;
     });
 }
 
@@ -90,6 +90,8 @@
 
 void RangeControl::driveRanges()
 {
+    if (!isConfirmed())
+        return;
     for (Entry &entry : m_entries)
         drive(entry);
 }
@@ -167,10 +169,11 @@
     entry.releaseEnd = m_now + m_timing.releaseTimeout;
     entry.lastOrder = m_now;
     m_orders[id] = {true, entry.owned.owner, entry.owned.range, fence, entry.mayHoldUntil};
-    note(events::rangeReleasing, text(entry.owned.range) + " " + entry.owned.owner.id + " to "
+    note(events::rangeReleasing,
+         text(entry.owned.range) + " " + entry.owned.owner.id + " to "
              + (destination.empty() ? std::string("whoever has room") : destination));
-    m_effects.emplace_back(RangeOrder{id, true, entry.owned.owner.id, address, entry.owned.range, fence, 0ms,
-                                      m_timing.releaseTimeout, {}});
+    m_effects.emplace_back(RangeOrder{
+        id, true, entry.owned.owner.id, address, entry.owned.range, fence, 0ms, m_timing.releaseTimeout, {}});
 }
 
 void RangeControl::startLapse(Entry &entry, const std::string &why)
@@ -178,8 +181,9 @@
     entry.phase = Phase::Lapsing;
     m_avoidUntil[entry.owned.owner.id] = m_now + m_timing.avoidTime;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.mayHoldUntil - m_now).count();
-    note(events::rangeLapsing, text(entry.owned.range) + " " + entry.owned.owner.id + ": " + why
-             + ", its lease may run for " + std::to_string(left) + " ms");
+    note(events::rangeLapsing,
+         text(entry.owned.range) + " " + entry.owned.owner.id + ": " + why + ", its lease may run for "
+             + std::to_string(left) + " ms");
 }
 
 void RangeControl::setFree(Entry &entry, std::string handover)
@@ -199,7 +203,8 @@
     for (Entry &entry : m_entries) {
         // A range may have been cut or merged since: what was ordered under another fence says nothing of it.
         const bool isMeant = entry.firstFence <= order.fence && order.fence <= entry.owned.fence
-            && entry.owned.owner == order.target && order.range.first <= entry.owned.range.first && entry.owned.range.last <= order.range.last;
+            && entry.owned.owner == order.target && order.range.first <= entry.owned.range.first
+            && entry.owned.range.last <= order.range.last;
         if (!isMeant)
             continue;
         if (order.isRelease)
@@ -215,7 +220,8 @@
         return;
     if (end == OrderEndKind::Accepted) {
         if (entry.phase != Phase::Held)
-            note(events::rangeGranted, text(entry.owned.range) + " to " + entry.owned.owner.id + " fence "
+            note(events::rangeGranted,
+                 text(entry.owned.range) + " to " + entry.owned.owner.id + " fence "
                      + std::to_string(entry.owned.fence));
         entry.phase = Phase::Held;
         entry.isInherited = false;
@@ -227,10 +233,12 @@
             entry.mayHoldUntil = m_now + longestHold() - m_timing.orderTimeout;
         m_avoidUntil.erase(entry.owned.owner.id);
     } else if (end == OrderEndKind::HigherFence) {
-        // Somebody gave a higher one: the store tells whether that was a later controller.
+        if (order.fence != entry.owned.fence)
+            return; // An earlier order of ours came after a later one.
+        // A later controller may have given it: nothing is ordered until the store has said who controls.
         entry.owned.fence = nextFence();
-        entry.nextOrder = m_now + m_timing.secondOrder;
-        m_confirmedAt = std::min(m_confirmedAt, m_now - m_timing.confirmEvery);
+        entry.nextOrder = m_now;
+        m_confirmFrom = m_now;
     } else if (end == OrderEndKind::Unanswered) {
         entry.needsFence = true;
     } else {
@@ -273,7 +281,8 @@
     std::vector<RangeCandidate> candidates;
     for (const RegisteredTarget &target : readyTargets()) {
         const auto fastest = m_fastest.find(target.life.id);
-        const Duration latency = fastest == m_fastest.end() || fastest->second == 0ms ? unknownLatency : fastest->second;
+        const Duration latency
+            = fastest == m_fastest.end() || fastest->second == 0ms ? unknownLatency : fastest->second;
         double capacity = static_cast<double>(target.slots) / std::chrono::duration<double>(latency).count();
         if (target.warmupLeft > 0ms)
             capacity *= warmingShare;
@@ -287,7 +296,8 @@
     std::map<std::string, double> use;
     for (const Entry &entry : m_entries) {
         const double load = m_load.of(entry.owned.range);
-        const bool goes = entry.phase == Phase::Free || entry.phase == Phase::Releasing || entry.phase == Phase::Lapsing;
+        const bool goes
+            = entry.phase == Phase::Free || entry.phase == Phase::Releasing || entry.phase == Phase::Lapsing;
         use[goes ? entry.destination : entry.owned.owner.id] += load;
     }
     return use;
@@ -393,9 +403,10 @@
         if (!entry.isBeingWritten)
             continue;
         entry.isBeingWritten = false;
-        const auto recorded = std::find_if(m_written.ranges.begin(), m_written.ranges.end(), [&](const OwnedRange &owned) {
-            return owned.range == entry.owned.range && owned.fence == entry.owned.fence;
-        });
+        const auto recorded
+            = std::find_if(m_written.ranges.begin(), m_written.ranges.end(), [&](const OwnedRange &owned) {
+                  return owned.range == entry.owned.range && owned.fence == entry.owned.fence;
+              });
         if (recorded == m_written.ranges.end() || entry.phase != Phase::Free)
             continue;
         entry.owned = *recorded;
@@ -409,13 +420,13 @@
         entry.refusedConnections = 0;
         ++count;
     }
-    note(events::rangesRecorded, "revision " + std::to_string(m_revision) + ": " + std::to_string(count)
-             + " ranges get their owner");
+    note(events::rangesRecorded,
+         "revision " + std::to_string(m_revision) + ": " + std::to_string(count) + " ranges get their owner");
 }
 
 void RangeControl::planIfDue()
 {
-    if (m_now < m_nextPlan)
+    if (m_now < m_nextPlan || !isConfirmed())
         return;
     m_nextPlan = m_now + m_timing.planEvery;
     mergeNeighbours();
@@ -424,7 +435,7 @@
     const auto moving = std::count_if(m_entries.begin(), m_entries.end(), [](const Entry &entry) {
         return entry.phase == Phase::Free || entry.phase == Phase::Releasing;
     });
-    constexpr int mostMoving = 4;
+    constexpr int mostMoving = 12;
     if (isStoreNear && moving < mostMoving) {
         std::vector<RoutedRange> ranges;
         for (const Entry &entry : m_entries) {
@@ -452,9 +463,10 @@
             cut.push_back(entry);
             continue;
         }
-        for (const auto &[first, last] : {std::pair<std::int64_t, std::int64_t>{whole.first, std::int64_t{part.first} - 1},
-                                          {part.first, part.last},
-                                          {std::int64_t{part.last} + 1, whole.last}}) {
+        for (const auto &[first, last] :
+             {std::pair<std::int64_t, std::int64_t>{whole.first, std::int64_t{part.first} - 1},
+              {part.first, part.last},
+              {std::int64_t{part.last} + 1, whole.last}}) {
             if (first > last)
                 continue;
             Entry piece = entry;
@@ -465,8 +477,8 @@
     m_entries = std::move(cut);
 }
 
-/// Joins neighbouring ranges of an owner that has many. The owner holds all of them, so a grant of the whole under a new
-/// fence takes nothing away from anybody.
+/// Joins neighbouring ranges of an owner that has many. The owner holds all of them, so a grant of the whole under a
+/// new fence takes nothing away from anybody.
 void RangeControl::mergeNeighbours()
 {
     std::map<std::string, std::size_t> counts;
@@ -500,10 +512,12 @@
             state = RangeState::Held;
         else if (entry.phase == Phase::Lapsing || (entry.phase == Phase::Free && !isStoreNear))
             state = RangeState::Away;
-        if (!ranges.empty() && ranges.back().owner == entry.owned.owner.id && ranges.back().state == state)
+        // Who owns a moving range matters to nobody yet; leaving it out saves announcements.
+        const std::string owner = state == RangeState::Moving ? std::string() : entry.owned.owner.id;
+        if (!ranges.empty() && ranges.back().owner == owner && ranges.back().state == state)
             ranges.back().range.last = entry.owned.range.last;
         else
-            ranges.push_back({entry.owned.range, entry.owned.owner.id, state});
+            ranges.push_back({entry.owned.range, owner, state});
     }
     if (ranges == m_announced || ranges.empty())
         return;
--- a/packages/core/src/rangeplanner.cpp
+++ b/packages/core/src/rangeplanner.cpp
@@ -133,9 +133,10 @@
         if (busiest == nullptr || use[busiest->id] / busiest->capacity < mean * limits.tolerance)
             break;
         std::vector<RangeCandidate> others;
-        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(others), [&](const RangeCandidate &other) {
-            return other.id != busiest->id && counts[other.id] < limits.rangesPerTarget;
-        });
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(others),
+                     [&](const RangeCandidate &other) {
+                         return other.id != busiest->id && counts[other.id] < limits.rangesPerTarget;
+                     });
         const std::string to = leastUsed(others, use, 0);
         if (to.empty())
             break;
--- /dev/null
+++ b/packages/core/tests/rangecontrol_test.cpp
@@ -0,0 +1,86 @@
+#include "rangeworld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehinge::core;
+using namespace sardinehinge::core::tests;
+using namespace std::chrono_literals;
+
+TEST_CASE("All keys get an owner soon after the first start")
+{
+    RangeWorld world(1, {});
+    world.run(4s, true);
+    CHECK(world.violations().empty());
+    CHECK(world.servedShare() == 1.0);
+    CHECK(world.controllers() == 1);
+}
+
+TEST_CASE("A planted second holder is seen by the checker")
+{
+    RangeWorld world(1, {});
+    world.run(4s, true);
+    const std::string owner = world.holders().front();
+    world.forceHold(owner == "target0" ? "target1" : "target0", {0, 0});
+    world.run(100ms, true);
+    CHECK_FALSE(world.violations().empty());
+}
+
+TEST_CASE("Keys stay served through single losses, within the derived bounds")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(RangeWorld &)> strike;
+        Duration bound;
+    };
+    // The bounds are derived in docs/DESIGN.md.
+    const auto [name, strike, bound] = GENERATE(
+        Case{"controller killed", [](RangeWorld &w) { w.killDaemon(w.controllerIndex()); }, 100ms},
+        Case{"controller frozen", [](RangeWorld &w) { w.freezeDaemon(w.controllerIndex(), 5s); }, 100ms},
+        Case{"controller turned away by the store", [](RangeWorld &w) { w.cutStore(w.controllerIndex(), true); },
+             100ms},
+        Case{"store down", [](RangeWorld &w) { w.setStoreDown(true); }, 100ms},
+        Case{"target drained", [](RangeWorld &w) { w.drainTarget(w.holders().front()); }, 600ms},
+        Case{"target lost with a reset", [](RangeWorld &w) { w.crashTarget(w.holders().front(), false); }, 2400ms},
+        Case{"target lost silently", [](RangeWorld &w) { w.crashTarget(w.holders().front(), true); }, 4200ms});
+    DYNAMIC_SECTION(name)
+    {
+        RangeWorld world(GENERATE(range(1, 6)), {});
+        world.run(5s, true);
+        REQUIRE(world.servedShare() == 1.0);
+        world.takeLongestGap();
+        strike(world);
+        world.run(8s, true);
+        CHECK(world.violations().empty());
+        CHECK(world.takeLongestGap() <= bound);
+        CHECK(world.servedShare() == 1.0);
+    }
+}
+
+TEST_CASE("No two targets hold a key under any mix of faults, and keys are served again once faults end")
+{
+    struct Mix
+    {
+        const char *name;
+        RangeFaults faults;
+    };
+    const auto [name, faults] = GENERATE(
+        Mix{"controllers", {true, false, false, false, true}}, Mix{"store", {false, true, false, false, true}},
+        Mix{"targets", {false, false, true, false, true}}, Mix{"orders", {false, false, false, true, true}},
+        Mix{"controllers and targets", {true, false, true, false, true}},
+        Mix{"store and targets", {false, true, true, true, true}}, Mix{"all", {true, true, true, true, true}});
+    DYNAMIC_SECTION(name)
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            INFO("seed " << seed);
+            RangeWorld world(seed, faults);
+            world.run(40s);
+            world.heal();
+            world.run(50s, true); // Twice the time for which an earlier controller's grants may last.
+            INFO(world.story());
+            for (const std::string &violation : world.violations())
+                FAIL(violation);
+            REQUIRE(world.servedShare() == 1.0);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/tests/rangeworld.cpp
@@ -0,0 +1,537 @@
+#include "rangeworld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core::tests {
+
+namespace {
+
+constexpr const char *serviceName = "series";
+constexpr Duration step = 10ms;
+constexpr std::uint32_t sampleStride = 1024;
+/// Grants that arrive within this long after their sender was thawed don't count, as on the users' platform.
+constexpr Duration thawGrace = 300ms;
+
+} // namespace
+
+RangeWorld::RangeWorld(std::uint64_t seed, RangeFaults faults, std::size_t daemons, std::size_t targets)
+    : m_random(seed)
+    , m_faults(faults)
+    , m_now(1s)
+{
+    m_daemons.resize(daemons);
+    for (std::size_t index = 0; index < targets; ++index)
+        addTarget("target" + std::to_string(index));
+    for (std::size_t index = 0; index < daemons; ++index)
+        startDaemon(index);
+    publishPeers();
+}
+
+bool RangeWorld::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+Duration RangeWorld::delay(std::int64_t leastMs, std::int64_t mostMs)
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(leastMs, mostMs)(m_random));
+}
+
+void RangeWorld::at(Duration delay, std::function<void()> action)
+{
+    m_queue.push_back({m_now + delay, std::move(action)});
+}
+
+void RangeWorld::startDaemon(std::size_t index)
+{
+    Daemon &daemon = m_daemons[index];
+    daemon.identity = {"daemon" + std::to_string(index), ++m_revision};
+    daemon.control = std::make_unique<RangeControl>(serviceName, daemon.identity, m_now);
+    daemon.inbox.clear();
+    daemon.owners = {};
+    publishTargets();
+    publishPeers();
+}
+
+void RangeWorld::publishPeers()
+{
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        std::vector<PeerDaemon> peers;
+        for (const Daemon &other : m_daemons) {
+            if (other.control != nullptr && other.identity.id != m_daemons[index].identity.id)
+                peers.push_back({other.identity.id, other.identity.incarnation, "peer"});
+        }
+        if (m_daemons[index].control != nullptr && !m_daemons[index].isCutFromPeers)
+            deliver(index, m_daemons[index].identity.incarnation, ControlPeers{peers});
+    }
+}
+
+void RangeWorld::publishTargets()
+{
+    std::vector<RegisteredTarget> entries;
+    for (const auto &[id, target] : m_targets) {
+        if (target.isRegistered)
+            entries.push_back(target.entry);
+    }
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        if (m_daemons[index].control != nullptr && !m_daemons[index].isCutFromStore && !m_isStoreDown)
+            deliver(index, m_daemons[index].identity.incarnation, ControlTargets{entries});
+    }
+}
+
+void RangeWorld::addTarget(const std::string &id)
+{
+    Target target;
+    target.entry.life = {id, m_nextBorn++};
+    target.entry.service = serviceName;
+    target.entry.address = id;
+    target.entry.slots = 6;
+    target.clockRate = chance(0.5) ? 0.98 : 1.0;
+    m_targets[id] = target;
+    publishTargets();
+}
+
+void RangeWorld::crashTarget(const std::string &id, bool isSilent)
+{
+    note(id + (isSilent ? " falls silent" : " crashes"));
+    Target &target = m_targets.at(id);
+    if (isSilent) {
+        target.isSilent = true;
+    } else {
+        target.isUp = false;
+        target.holds.clear();
+    }
+    at(2600ms, [this, id] {
+        if (Target &gone = m_targets.at(id); !gone.isUp || gone.isSilent) {
+            gone.isRegistered = false;
+            publishTargets();
+        }
+    });
+}
+
+void RangeWorld::drainTarget(const std::string &id)
+{
+    note(id + " drains");
+    m_targets.at(id).entry.isDraining = true;
+    publishTargets();
+}
+
+void RangeWorld::killDaemon(std::size_t index)
+{
+    note(m_daemons[index].identity.id + " is killed");
+    m_daemons[index].control.reset();
+    m_daemons[index].deadUntil = m_now + delay(500, 4000);
+}
+
+void RangeWorld::freezeDaemon(std::size_t index, Duration length)
+{
+    note(m_daemons[index].identity.id + " freezes");
+    m_daemons[index].frozenUntil = m_now + length;
+}
+
+std::size_t RangeWorld::controllers() const
+{
+    return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](const Daemon &daemon) {
+        return daemon.control != nullptr && daemon.control->isController();
+    }));
+}
+
+std::size_t RangeWorld::controllerIndex() const
+{
+    std::size_t best = 0;
+    std::uint64_t term = 0;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        const auto &control = m_daemons[index].control;
+        if (control != nullptr && control->isController() && control->term() >= term) {
+            best = index;
+            term = control->term();
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> RangeWorld::holders() const
+{
+    std::vector<std::string> holders;
+    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
+        const auto found = m_lastHolder.find(key);
+        holders.push_back(found == m_lastHolder.end() ? std::string() : found->second);
+    }
+    return holders;
+}
+
+void RangeWorld::forceHold(const std::string &id, const KeyRange &range)
+{
+    m_targets.at(id).holds.push_back({range, 1, m_now + 5s});
+}
+
+void RangeWorld::deliver(std::size_t index, std::uint64_t incarnation, const ControlEvent &event)
+{
+    Daemon &daemon = m_daemons[index];
+    if (daemon.control == nullptr || daemon.identity.incarnation != incarnation)
+        return;
+    if (m_now < daemon.frozenUntil) {
+        daemon.inbox.push_back(event);
+        return;
+    }
+    carryOut(index, daemon.control->handle(event, m_now));
+}
+
+void RangeWorld::carryOut(std::size_t daemon, const RangeControl::Effects &effects)
+{
+    for (const ControlEffect &effect : effects)
+        std::visit([this, daemon](const auto &concrete) { act(daemon, concrete); }, effect);
+}
+
+void RangeWorld::act(std::size_t index, const ReadOwnership &)
+{
+    const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
+    at(delay(2, 12), [this, index, incarnation, asked = m_now] {
+        const bool isUnreachable = m_isStoreDown || m_daemons[index].isCutFromStore;
+        const ControlEvent reply = isUnreachable
+            ? ControlEvent(OwnershipCallFailed{false})
+            : ControlEvent(OwnershipRead{m_record, m_record ? m_revision : 0, asked});
+        at(isUnreachable ? 400ms : delay(2, 12),
+           [this, index, incarnation, reply] { deliver(index, incarnation, reply); });
+    });
+}
+
+ControlEvent RangeWorld::applyWrite(const WriteOwnership &write, Time asked)
+{
+    const bool isExpected = m_record ? write.expected == m_revision : write.expected == 0;
+    if (!isExpected)
+        return OwnershipConflict{*m_record, m_revision};
+    if (!m_record || *m_record != write.record) {
+        m_record = write.record;
+        ++m_revision;
+    }
+    return OwnershipWritten{m_revision, asked};
+}
+
+void RangeWorld::act(std::size_t index, const WriteOwnership &effect)
+{
+    const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
+    const bool isLost = m_faults.store && chance(0.1);
+    const bool isLate = isLost && chance(0.5);
+    const bool isDone = !isLost || isLate || chance(0.7);
+    const Duration way = isLate ? delay(1000, 6000) : delay(2, 12);
+    if (m_isStoreDown || m_daemons[index].isCutFromStore) {
+        at(400ms, [this, index, incarnation] { deliver(index, incarnation, OwnershipCallFailed{true}); });
+        return;
+    }
+    if (isLost)
+        at(1500ms, [this, index, incarnation] { deliver(index, incarnation, OwnershipCallFailed{true}); });
+    at(way, [this, index, incarnation, effect, isLost, isDone, asked = m_now] {
+        if (!isDone)
+            return;
+        const ControlEvent reply = applyWrite(effect, asked);
+        if (!isLost)
+            at(delay(2, 12), [this, index, incarnation, reply] { deliver(index, incarnation, reply); });
+    });
+}
+
+bool RangeWorld::applyOrder(Target &target, const RangeOrder &order, Time arrived)
+{
+    for (auto &[key, fence] : target.highest) {
+        if (!order.isRelease && order.range.contains(key) && fence > order.fence)
+            return false;
+    }
+    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
+        if (order.range.contains(key))
+            target.highest[key] = std::max(target.highest[key], order.fence);
+    }
+    // What overlaps is cut; a grant then adds the whole of its range.
+    std::vector<Hold> left;
+    for (const Hold &hold : target.holds) {
+        if (hold.range.last < order.range.first || hold.range.first > order.range.last) {
+            left.push_back(hold);
+            continue;
+        }
+        if (hold.range.first < order.range.first)
+            left.push_back({{hold.range.first, order.range.first - 1}, hold.fence, hold.until});
+        if (hold.range.last > order.range.last)
+            left.push_back({{order.range.last + 1, hold.range.last}, hold.fence, hold.until});
+    }
+    if (!order.isRelease) {
+        const auto held = std::chrono::duration_cast<Duration>(order.lease / target.clockRate);
+        if (arrived + held > m_now)
+            left.push_back({order.range, order.fence, arrived + held});
+    }
+    target.holds = std::move(left);
+    return true;
+}
+
+void RangeWorld::act(std::size_t index, const RangeOrder &effect)
+{
+    const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
+    const auto end = [this, index, incarnation, order = effect.order](OrderEndKind kind, Duration wait) {
+        at(wait, [this, index, incarnation, order, kind] {
+            deliver(index, incarnation, OrderEnded{order, kind, "token"});
+        });
+    };
+    const auto found = m_targets.find(effect.target);
+    if (found == m_targets.end() || !found->second.isUp)
+        return end(OrderEndKind::Unreachable, delay(1, 5));
+    if (found->second.isSilent)
+        return end(OrderEndKind::Unanswered, effect.timeout);
+    const TargetLife life = found->second.entry.life;
+    note(m_daemons[index].identity.id + (effect.isRelease ? " releases " : " grants ") + effect.target + " "
+         + std::to_string(effect.range.first) + ".." + std::to_string(effect.range.last) + " fence "
+         + std::to_string(effect.fence));
+    const bool isLost = m_faults.orders && chance(0.2);
+    const bool isLate = isLost && chance(0.5);
+    const Duration way = delay(1, 8);
+    if (isLost)
+        end(OrderEndKind::Unanswered, effect.timeout);
+    at(way, [this, effect, life, isLost, isLate, end, arrived = m_now + way] {
+        const auto apply = [this, effect, life, isLost, end, arrived] {
+            Target &target = m_targets.at(effect.target);
+            if (!target.isUp || target.entry.life != life || target.isSilent)
+                return;
+            const bool isTaken = applyOrder(target, effect, arrived);
+            if (!isLost)
+                end(isTaken ? OrderEndKind::Accepted : OrderEndKind::HigherFence,
+                    effect.isRelease ? delay(1, 300) : delay(1, 8));
+        };
+        if (isLate)
+            at(delay(2000, 12000), apply);
+        else
+            apply();
+    });
+}
+
+void RangeWorld::broadcast(std::size_t from, const ControlEvent &event)
+{
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        const bool isCut = m_daemons[index].isCutFromPeers || m_daemons[from].isCutFromPeers;
+        if (index == from || isCut || (m_faults.network && chance(0.05)))
+            continue;
+        at(delay(1, 6), [this, index, event, incarnation = m_daemons[index].identity.incarnation] {
+            deliver(index, incarnation, event);
+        });
+    }
+}
+
+void RangeWorld::act(std::size_t index, const AnnounceOwners &effect)
+{
+    for (Daemon &daemon : m_daemons) {
+        if (effect.owners.isNewerThan(daemon.owners))
+            daemon.owners = effect.owners;
+    }
+    (void)index;
+}
+
+void RangeWorld::act(std::size_t index, const SendBeat &effect)
+{
+    broadcast(index, effect.beat);
+}
+
+void RangeWorld::act(std::size_t index, const SendResigned &effect)
+{
+    broadcast(index, effect.message);
+}
+
+void RangeWorld::act(std::size_t daemon, const ControlNote &effect)
+{
+    note(m_daemons[daemon].identity.id + ": E" + std::to_string(effect.event) + " " + effect.detail);
+}
+
+void RangeWorld::note(const std::string &text)
+{
+    constexpr std::size_t mostLines = 120;
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(m_now).count();
+    m_story.push_back(std::to_string(now) + " ms " + text);
+    if (m_story.size() > mostLines)
+        m_story.pop_front();
+}
+
+std::string RangeWorld::story() const
+{
+    std::string text;
+    for (const std::string &line : m_story)
+        text += line + "\n";
+    return text;
+}
+
+void RangeWorld::drawFault()
+{
+    const auto any
+        = [this](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random); };
+    const std::size_t daemon = chance(0.5) ? controllerIndex() : any(m_daemons.size());
+    if (m_faults.controllers) {
+        const std::size_t kind = any(4);
+        if (kind == 0)
+            killDaemon(daemon);
+        else if (kind == 1)
+            freezeDaemon(daemon, delay(200, 6000));
+        else if (kind == 2)
+            m_daemons[daemon].isCutFromPeers = !m_daemons[daemon].isCutFromPeers;
+    }
+    if (m_faults.store) {
+        const std::size_t kind = any(4);
+        if (kind == 0)
+            m_daemons[daemon].isCutFromStore = !m_daemons[daemon].isCutFromStore;
+        else if (kind == 1 && !m_isStoreDown)
+            m_isStoreDown = true;
+        else if (m_isStoreDown) {
+            m_isStoreDown = false;
+            publishTargets();
+        }
+    }
+    if (!m_faults.targets)
+        return;
+    auto victim = m_targets.begin();
+    std::advance(victim, static_cast<std::ptrdiff_t>(any(m_targets.size())));
+    const std::string id = victim->first;
+    const auto ready = std::count_if(m_targets.begin(), m_targets.end(), [](const auto &entry) {
+        return entry.second.isUp && !entry.second.isSilent && !entry.second.entry.isDraining;
+    });
+    Target &target = victim->second;
+    const bool isGood = target.isUp && !target.isSilent && !target.entry.isDraining;
+    if (isGood && ready > 3) {
+        const std::size_t kind = any(4);
+        if (kind == 0)
+            crashTarget(id, false);
+        else if (kind == 1)
+            crashTarget(id, true);
+        else if (kind == 2)
+            drainTarget(id);
+        else
+            target.isRegistered = !target.isRegistered;
+        publishTargets();
+    } else if (!isGood) {
+        restore(id);
+        publishTargets();
+    }
+}
+
+void RangeWorld::restore(const std::string &id)
+{
+    Target &target = m_targets.at(id);
+    // A silent one that returns is the same life; one that was down starts again.
+    if (!target.isUp || target.entry.isDraining) {
+        target.holds.clear();
+        target.highest.clear();
+        target.entry.life.born = m_nextBorn++;
+    }
+    note(id + " is back, born " + std::to_string(target.entry.life.born));
+    target.isUp = true;
+    target.isSilent = false;
+    target.isRegistered = true;
+    target.entry.isDraining = false;
+}
+
+void RangeWorld::check()
+{
+    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
+        std::string holder;
+        std::uint64_t fence = 0;
+        for (auto &[id, target] : m_targets) {
+            if (!target.isUp)
+                continue;
+            for (const Hold &hold : target.holds) {
+                if (!hold.range.contains(key) || hold.until <= m_now)
+                    continue;
+                if (!holder.empty() && holder != id)
+                    m_violations.push_back("key " + std::to_string(key) + " at " + holder + " and " + id);
+                holder = id;
+                fence = hold.fence;
+            }
+        }
+        if (holder.empty()) {
+            m_longestGap = std::max(m_longestGap, m_now - m_heldAt[key]);
+            continue;
+        }
+        m_heldAt[key] = m_now;
+        if (auto &last = m_lastHolder[key]; last != holder) {
+            if (fence <= m_lastFence[key])
+                m_violations.push_back("key " + std::to_string(key) + " went to " + holder + " without a higher fence");
+            last = holder;
+        }
+        m_lastFence[key] = std::max(m_lastFence[key], fence);
+    }
+}
+
+void RangeWorld::run(Duration length, bool isCalm)
+{
+    const Time end = m_now + length;
+    Time nextFault = m_now + delay(500, 1500);
+    while (m_now < end && m_violations.empty()) {
+        m_now += step;
+        // Events that become due while others run are taken in the next step at the latest.
+        std::vector<Event> due;
+        std::vector<Event> later;
+        for (Event &event : m_queue)
+            (event.at <= m_now ? due : later).push_back(std::move(event));
+        m_queue = std::move(later);
+        std::stable_sort(due.begin(), due.end(),
+                         [](const Event &left, const Event &right) { return left.at < right.at; });
+        for (Event &event : due)
+            event.action();
+        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+            Daemon &daemon = m_daemons[index];
+            if (daemon.control == nullptr && m_now >= daemon.deadUntil && daemon.deadUntil != 0ms)
+                startDaemon(index);
+            if (daemon.control == nullptr || m_now < daemon.frozenUntil)
+                continue;
+            while (!daemon.inbox.empty()) {
+                const ControlEvent event = daemon.inbox.front();
+                daemon.inbox.pop_front();
+                carryOut(index, daemon.control->handle(event, m_now));
+            }
+            if (m_now.count() % Duration(50ms).count() == 0)
+                carryOut(index, daemon.control->handle(ControlTick{}, m_now));
+        }
+        if (!isCalm && m_now >= nextFault) {
+            drawFault();
+            nextFault = m_now + delay(200, 2500);
+        }
+        check();
+    }
+}
+
+void RangeWorld::heal()
+{
+    m_faults = {};
+    m_isStoreDown = false;
+    for (const auto &[id, target] : m_targets) {
+        if (!target.isUp || target.isSilent || !target.isRegistered || target.entry.isDraining)
+            restore(id);
+    }
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        m_daemons[index].isCutFromPeers = m_daemons[index].isCutFromStore = false;
+        m_daemons[index].frozenUntil = 0ms;
+        if (m_daemons[index].control == nullptr)
+            startDaemon(index);
+    }
+    publishPeers();
+    publishTargets();
+}
+
+double RangeWorld::servedShare() const
+{
+    const RangeOwners &owners = m_daemons[controllerIndex()].owners;
+    std::size_t served = 0;
+    std::size_t all = 0;
+    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
+        ++all;
+        const RoutedRange *range = owners.find(key);
+        if (range == nullptr || range->state != RangeState::Held || !m_targets.contains(range->owner))
+            continue;
+        const Target &target = m_targets.at(range->owner);
+        const bool isHeld = std::any_of(target.holds.begin(), target.holds.end(), [&](const Hold &hold) {
+            return hold.range.contains(key) && hold.until > m_now;
+        });
+        if (target.isUp && isHeld)
+            ++served;
+    }
+    return static_cast<double>(served) / static_cast<double>(all);
+}
+
+Duration RangeWorld::takeLongestGap()
+{
+    return std::exchange(m_longestGap, Duration(0));
+}
+
+} // namespace sardinehinge::core::tests
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -17,7 +17,9 @@
     core::Duration wait = std::chrono::seconds(4); ///< One waiting call; its lack of an answer shows a silent store.
     core::Duration pause = std::chrono::milliseconds(100); ///< After changes: those that follow closely cost one call.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
-    core::Duration retryMax = std::chrono::milliseconds(1600);
+    core::Duration retryMax
+        = std::chrono::milliseconds(300); ///< With the time to connect and the registry's grace, what
+                                          ///< was missed is in force 3 s after an outage's end.
 };
 
 /// Keeps up with the objects of one kind: lists them, watches from there on, and lists again when history was lost.
@@ -45,6 +47,13 @@
 
     void start() { list({}); }
 
+    /// Tries again at once if the last call failed: the store is known to answer.
+    void retryNow()
+    {
+        if (m_isRetrying)
+            retry();
+    }
+
 private:
     using Page = edges::FeedPage<Value>;
 
@@ -104,7 +113,15 @@
     {
         m_handlers.reached(false, page.detail);
         m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
-        after(m_retry, [this] { m_isListed ? watch() : list({}); });
+        m_isRetrying = true;
+        after(m_retry, [this] { retry(); });
+    }
+
+    void retry()
+    {
+        m_isRetrying = false;
+        m_timer.cancel();
+        m_isListed ? watch() : list({});
     }
 
     void after(core::Duration wait, std::function<void()> action)
@@ -123,6 +140,7 @@
     std::vector<std::string> m_names;
     std::uint64_t m_revision = 0;
     bool m_isListed = false;
+    bool m_isRetrying = false;
     core::Duration m_retry = core::Duration(0);
 };
 
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -82,8 +82,11 @@
     initialiseGatewayLog(state.settings.id);
     state.control = std::make_unique<GatewayControl>(
         state.settings,
-        [&state](boost::asio::io_context &context) { return platform::makePlatform(context, state.settings.storeAddress); },
-        state.events, state.metrics, [&state](ToTraffic update) { return state.traffic->updates().push(std::move(update)); });
+        [&state](boost::asio::io_context &context) {
+            return platform::makePlatform(context, state.settings.storeAddress);
+        },
+        state.events, state.metrics,
+        [&state](ToTraffic update) { return state.traffic->updates().push(std::move(update)); });
     state.traffic = std::make_unique<GatewayTraffic>(
         state.settings, platform::makeDialect(), state.events, state.metrics,
         [&state](FromTraffic report) { return state.control->reports().push(std::move(report)); });
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -18,10 +18,18 @@
 constexpr std::chrono::milliseconds timerStep(50);
 /// Between two tries to enter this daemon into the platform's registry.
 constexpr std::chrono::milliseconds enterRetry(500);
-/// A shorter lease than the targets' bound is used; see core::OwnershipTiming.
+/// The watch of the configuration leaves it to that of the targets to find out when the store is back.
+constexpr std::chrono::milliseconds configRetryMax(4000);
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
+FeedTiming configTiming()
+{
+    FeedTiming timing;
+    timing.retryMax = configRetryMax;
+    return timing;
+}
+
 std::optional<udp::endpoint> parseEndpoint(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -50,7 +58,8 @@
     , m_metricsServer(m_worker.context(), *this)
     , m_configs(m_worker.context(), m_platform->configs(),
                 {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
-                 [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }})
+                 [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }},
+                configTiming())
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
                     [this](const std::vector<std::string> &names) {
@@ -61,7 +70,8 @@
                     [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }})
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
-        m_reports.drain([this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
+        m_reports.drain(
+            [this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
     }))
     , m_self{settings.id, 0}
 {
@@ -168,7 +178,8 @@
         return;
     known = peer;
     m_events.record(Severity::Info, core::events::peerJoined,
-                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation) + " address=" + peer.address);
+                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
+                        + " address=" + peer.address);
     publishPeers();
 }
 
@@ -186,8 +197,8 @@
 {
     if (!entry.value) {
         m_events.record(Severity::Warning, core::events::gatewayConfigRefused,
-                        "object=" + entry.name + " reason=\"" + entry.fault + "\" in_force="
-                            + std::to_string(m_configVersion));
+                        "object=" + entry.name + " reason=\"" + entry.fault
+                            + "\" in_force=" + std::to_string(m_configVersion));
         return;
     }
     if (entry.value->version <= m_configVersion)
@@ -231,6 +242,10 @@
     if (isReachable == m_isReachable)
         return;
     m_isReachable = isReachable;
+    if (isReachable) {
+        m_configs.retryNow();
+        m_targetFeed.retryNow();
+    }
     m_events.record(isReachable ? Severity::Info : Severity::Warning,
                     isReachable ? core::events::platformBack : core::events::platformLost, "detail=\"" + detail + "\"");
 }
@@ -315,24 +330,23 @@
 void GatewayControl::act(const std::string &service, const core::WriteOwnership &effect)
 {
     m_metrics.storeWrites.Increment();
-    m_platform->ownership().write(
-        service, effect.record, effect.expected,
-        [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
-            if (reply.outcome == edges::StoreOutcome::Ok)
-                run(service, core::OwnershipWritten{reply.revision, asked});
-            else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
-                run(service, core::OwnershipConflict{*reply.record, reply.revision});
-            else
-                run(service, core::OwnershipCallFailed{true});
-        });
+    m_platform->ownership().write(service, effect.record, effect.expected,
+                                  [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+                                      if (reply.outcome == edges::StoreOutcome::Ok)
+                                          run(service, core::OwnershipWritten{reply.revision, asked});
+                                      else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
+                                          run(service, core::OwnershipConflict{*reply.record, reply.revision});
+                                      else
+                                          run(service, core::OwnershipCallFailed{true});
+                                  });
 }
 
 void GatewayControl::act(const std::string &service, const core::RangeOrder &effect)
 {
-    m_platform->orders().send(effect,
-                              [this, service, order = effect.order](core::OrderEndKind end, const std::string &handover) {
-                                  run(service, core::OrderEnded{order, end, handover});
-                              });
+    m_platform->orders().send(
+        effect, [this, service, order = effect.order](core::OrderEndKind end, const std::string &handover) {
+            run(service, core::OrderEnded{order, end, handover});
+        });
 }
 
 void GatewayControl::act(const std::string &, const core::AnnounceOwners &effect)
@@ -362,7 +376,8 @@
     if (service.control != nullptr && service.control->isController())
         run(report.service, report.report);
     else if (!service.controller.empty())
-        send(service.controller, protocol::LoadMessage{report.service, report.report.requests, report.report.latencies});
+        send(service.controller,
+             protocol::LoadMessage{report.service, report.report.requests, report.report.latencies});
 }
 
 void GatewayControl::take(const core::OwnerRefused &report)
@@ -382,8 +397,9 @@
     service.owners = owners;
     service.controller = from;
     m_events.record(Severity::Info, core::events::ownersAnnounced,
-                    "service=" + owners.service + " from=" + from + " term=" + std::to_string(owners.term) + " sequence="
-                        + std::to_string(owners.sequence) + " ranges=" + std::to_string(owners.ranges.size()));
+                    "service=" + owners.service + " from=" + from + " term=" + std::to_string(owners.term)
+                        + " sequence=" + std::to_string(owners.sequence)
+                        + " ranges=" + std::to_string(owners.ranges.size()));
     m_tellTraffic(GatewayOwnersUpdate{owners});
 }
 
--- a/packages/daemon/src/gatewaymessages.h
+++ b/packages/daemon/src/gatewaymessages.h
@@ -29,8 +29,7 @@
 };
 
 /// Control duty to traffic duty.
-using ToTraffic
-    = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate>;
+using ToTraffic = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate>;
 
 struct ServiceKeyLoad
 {
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -108,7 +108,8 @@
 void GatewayTraffic::ReadyHandler::handle(std::uint64_t, http::Request, std::shared_ptr<http::Responder> responder)
 {
     const bool isReady = m_traffic.isReady();
-    responder->send({isReady ? 200 : statusUnavailable, {{"Content-Type", "text/plain"}}, isReady ? "ready\n" : "not ready\n"});
+    responder->send(
+        {isReady ? 200 : statusUnavailable, {{"Content-Type", "text/plain"}}, isReady ? "ready\n" : "not ready\n"});
 }
 
 http::Response GatewayTraffic::ReadyHandler::rejection(int status, const std::string &detail, const std::string &)
@@ -130,7 +131,8 @@
     , m_client(m_worker.context())
     , m_router(std::random_device()(), settings.failureDomain, limitsOf(settings))
     , m_updates(updateRing, m_worker.waker([this] {
-        m_updates.drain([this](const ToTraffic &update) { std::visit([this](const auto &each) { take(each); }, update); });
+        m_updates.drain(
+            [this](const ToTraffic &update) { std::visit([this](const auto &each) { take(each); }, update); });
     }))
 {
     m_router.setDaemons(settings.daemons);
@@ -150,7 +152,7 @@
     limits.idleTime = m_bounds.idleTime;
     limits.writeTime = writeTime;
     limits.connections = m_settings.descriptors > 2 * reservedDescriptors ? m_settings.descriptors - reservedDescriptors
-                                                                           : m_settings.descriptors / 2;
+                                                                          : m_settings.descriptors / 2;
     return limits;
 }
 
@@ -196,8 +198,8 @@
             m_shardedServices.insert(service.name);
     }
     m_events.record(Severity::Info, core::events::gatewayConfigInForce,
-                    "version=" + std::to_string(update.config.version) + " routes="
-                        + std::to_string(update.config.routes.size()));
+                    "version=" + std::to_string(update.config.version)
+                        + " routes=" + std::to_string(update.config.routes.size()));
     m_isReady.store(m_hasTargets && !m_isStopping.load());
 }
 
@@ -328,11 +330,11 @@
     const int status = statusOf(effect);
     (effect.mayHaveRun ? m_metrics.requestsUnknown : m_metrics.requestsNotRun).Increment();
     m_events.record(Severity::Info, core::events::gatewayRequestEnded,
-                    "request=" + exchange.requestId + " end=" + nameOf(effect.fault) + " status=" + std::to_string(status)
-                        + " config=" + std::to_string(m_router.configVersion()) + " after_ms="
-                        + std::to_string(milliseconds(bootTime() - exchange.arrived)) + " retry_after_ms="
-                        + std::to_string(milliseconds(effect.retryAfter)) + " detail=\"" + effect.detail + "\""
-                        + exchange.route);
+                    "request=" + exchange.requestId + " end=" + nameOf(effect.fault)
+                        + " status=" + std::to_string(status) + " config=" + std::to_string(m_router.configVersion())
+                        + " after_ms=" + std::to_string(milliseconds(bootTime() - exchange.arrived))
+                        + " retry_after_ms=" + std::to_string(milliseconds(effect.retryAfter)) + " detail=\""
+                        + effect.detail + "\"" + exchange.route);
     http::Response response{status, {{"Content-Type", "text/plain"}}, std::string(nameOf(effect.fault)) + "\n"};
     if (status == statusUnavailable && effect.retryAfter > core::Duration(0))
         response.headers.emplace_back("Retry-After", secondsText(effect.retryAfter));
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -18,8 +18,8 @@
 
 namespace sardinehinge::daemon {
 
-/// Serves callers: reads requests, carries out what core::GatewayRouter decides, and writes answers. One thread does all
-/// of it, since a request would otherwise pay two changes of thread on instances with a fifth of a core.
+/// Serves callers: reads requests, carries out what core::GatewayRouter decides, and writes answers. One thread does
+/// all of it, since a request would otherwise pay two changes of thread on instances with a fifth of a core.
 class GatewayTraffic : private http::RequestHandler
 {
 public:
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -95,7 +95,8 @@
 {
 public:
     /// Enters this daemon. The reply's revision is larger than that of every earlier life under the same id.
-    virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t revision)> done) = 0;
+    virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t revision)> done)
+        = 0;
 };
 
 class RangeOrders
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -34,8 +34,7 @@
         owners.__set_sequence(toWire(message.sequence));
         std::map<std::string, std::int16_t> indices;
         for (const core::RoutedRange &range : message.ranges) {
-            const auto [entry, isNew]
-                = indices.emplace(range.owner, static_cast<std::int16_t>(owners.owners.size()));
+            const auto [entry, isNew] = indices.emplace(range.owner, static_cast<std::int16_t>(owners.owners.size()));
             if (isNew)
                 owners.owners.push_back(range.owner);
             gatewaywire::OwnedPart part;
@@ -87,8 +86,8 @@
         for (const auto &[target, latency] : message.latencies) {
             gatewaywire::Latency entry;
             entry.__set_target(target);
-            entry.__set_microseconds(static_cast<std::int32_t>(
-                std::chrono::duration_cast<std::chrono::microseconds>(latency).count()));
+            entry.__set_microseconds(
+                static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::microseconds>(latency).count()));
             load.latencies.push_back(entry);
         }
         load.__isset.keys = load.__isset.latencies = true;
@@ -153,7 +152,8 @@
 std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
 {
     const auto &isset = in.__isset;
-    const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused + isset.hello;
+    const int count
+        = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused + isset.hello;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -172,10 +172,9 @@
     if (isset.load)
         return readLoad(in.load);
     if (isset.refused)
-        return isKey(in.refused.key)
-            ? std::optional<GatewayMessage>(RefusedMessage{in.refused.group, in.refused.target,
-                                                           static_cast<std::uint32_t>(in.refused.key)})
-            : std::nullopt;
+        return isKey(in.refused.key) ? std::optional<GatewayMessage>(
+                   RefusedMessage{in.refused.group, in.refused.target, static_cast<std::uint32_t>(in.refused.key)})
+                                     : std::nullopt;
     return Hello{in.hello.address, in.hello.isReply};
 }
 
