Let voters bound a controller's authority, and hand control over before a stop

And 82 requests got 431: the servers were made from bounds that were not initialised yet. Ruled out: a short authority from the store alone (an outage of 4 s would end all leases), and an unbounded one. Change: a record names seven voters, lives of daemons, which confirm the heartbeats; without the store a controller goes on for 1.5 s after most of them did. A new one knows from most of them when the old one stopped. Predecessors that are not known to have stopped stand in the record. A stopping controller goes on until another has taken over.

--- a/packages/core/include/sardinehinge/core/keyrange.h
+++ b/packages/core/include/sardinehinge/core/keyrange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <sardinehinge/core/types.h>
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -43,6 +45,16 @@
     bool operator==(const OwnedRange &) const = default;
 };
 
+/// A controller that may still give grants: nobody has learnt yet that it stopped.
+struct PastController
+{
+    DaemonIdentity identity;
+    std::uint64_t term = 0;
+    std::vector<DaemonIdentity> voters;
+
+    bool operator==(const PastController &) const = default;
+};
+
 /// What the store records of a sharded service: who may change its owners, and the owners. Ranges are in order, without
 /// gaps, from 0 to `lastKey`; empty before the first assignment.
 struct OwnershipRecord
@@ -50,7 +62,9 @@
     std::uint64_t term = 0; ///< Rises with each change of the controller.
     std::string controller; ///< Id of the daemon.
     std::uint64_t controllerIncarnation = 0;
-    bool isResigned = false; ///< The controller has given no grants since it wrote this.
+    /// Lives of daemons. While the store is away, the controller goes on only as long as most of them follow it.
+    std::vector<DaemonIdentity> voters;
+    std::vector<PastController> predecessors;
     std::vector<OwnedRange> ranges;
 
     bool operator==(const OwnershipRecord &) const = default;
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -24,8 +24,13 @@
     Duration lostAfter
         = std::chrono::milliseconds(1200); ///< Without an answer for so long a target gets no more orders.
     Duration releaseTimeout = std::chrono::milliseconds(4000); ///< A release waits for the work under way.
-    Duration authority = std::chrono::seconds(20); ///< Without word from the store, a controller renews for this long:
-                                                   ///< twice the longest outages that the users list.
+    Duration authority = std::chrono::milliseconds(1500); ///< A controller gives grants for this long after the store
+                                                          ///< or most voters confirmed it: seven heartbeats.
+    Duration longestAuthority = std::chrono::seconds(20); ///< And for this long after the store did: twice the longest
+                                                          ///< outages that the users list.
+    std::size_t voters = 7; ///< Three may be lost while the store is away.
+    Duration votersPause = std::chrono::seconds(2); ///< Least time between two changes of the voters.
+    std::size_t askedDaemons = 12; ///< Daemons that confirm heartbeats: voters and those that may become some.
     Duration confirmEvery = std::chrono::milliseconds(1000);
     Duration heartbeat = std::chrono::milliseconds(200);
     Duration controllerSilence = std::chrono::milliseconds(700); ///< Three heartbeats lost, and some delay.
@@ -83,11 +88,24 @@
     std::uint64_t term = 0;
     std::uint64_t sequence = 0; ///< Of its latest announcement.
     Duration storeAge = 0ms; ///< Time since it last heard from the store.
-    bool isLeaving = false; ///< It has stopped giving grants: anybody may take over at once.
+    bool isLeaving = false; ///< It will stop: anybody may take over at once. Until then it goes on.
+    Time sentAt = 0ms; ///< By the sender's clock.
+    bool wantsAck = false;
 
     bool operator==(const ControlBeat &) const = default;
 };
 
+/// A daemon follows the sender of a beat.
+struct ControlAck
+{
+    std::string service;
+    DaemonIdentity from;
+    std::uint64_t term = 0; ///< Highest known to the sender.
+    Time sentAt = 0ms; ///< Of the beat.
+
+    bool operator==(const ControlAck &) const = default;
+};
+
 /// A deposed controller gives no more grants.
 struct ControlResigned
 {
@@ -135,9 +153,9 @@
 {
 };
 
-using ControlEvent
-    = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict, ControlBeat,
-                   ControlResigned, ControlTargets, ControlPeers, OrderEnded, KeyLoadReport, KeyRefused, ControlStop>;
+using ControlEvent = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
+                                  ControlBeat, ControlAck, ControlResigned, ControlTargets, ControlPeers, OrderEnded,
+                                  KeyLoadReport, KeyRefused, ControlStop>;
 
 // Effects.
 
@@ -172,9 +190,17 @@
     RangeOwners owners;
 };
 
+/// To all daemons; those of `asked` shall confirm it.
 struct SendBeat
 {
     ControlBeat beat;
+    std::set<std::string> asked;
+};
+
+struct SendAck
+{
+    std::string to;
+    ControlAck ack;
 };
 
 struct SendResigned
@@ -190,8 +216,8 @@
     std::string detail;
 };
 
-using ControlEffect
-    = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendBeat, SendResigned, ControlNote>;
+using ControlEffect = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendBeat, SendAck,
+                                   SendResigned, ControlNote>;
 
 /// One daemon's part in the ownership of one sharded service's keys.
 ///
@@ -202,7 +228,8 @@
 /// - A key leaves a target after that target answered a release, or after the longest lease that any controller may
 ///   have given it has surely ended, or when the store shows a later life of the target.
 /// - A controller that was paused for long enough to be replaced asks the store before it orders anything.
-/// - A controller that hasn't heard from the store for `authority` gives no grants; a later one counts on that.
+/// - A controller gives grants only shortly after the store, or most of the voters in its record, confirmed it. Voters
+///   that know of a later term confirm it no more, so a later controller learns from most of them when it has stopped.
 class RangeControl
 {
 public:
@@ -213,12 +240,14 @@
     Effects handle(const ControlEvent &event, Time now);
 
     bool isController() const noexcept { return m_role == Role::Controller; }
+    /// Whether it was told to stop and nothing depends on it any more.
+    bool isStopped() const noexcept { return m_isStopping && m_role != Role::Controller; }
     std::uint64_t term() const noexcept { return m_term; }
     /// The owners as last announced by this daemon.
     RangeOwners owners() const;
 
 private:
-    enum class Role { Follower, Reading, Claiming, Controller, Stopped };
+    enum class Role { Follower, Claiming, Controller };
 
     enum class Phase {
         Granting, ///< Recorded for its owner, which hasn't confirmed this controller's grant yet.
@@ -261,6 +290,7 @@
     void on(const OwnershipWritten &event);
     void on(const OwnershipConflict &event);
     void on(const ControlBeat &event);
+    void on(const ControlAck &event);
     void on(const ControlResigned &event);
     void on(const ControlTargets &event);
     void on(const ControlPeers &event);
@@ -278,7 +308,14 @@
     bool isOwn(const OwnershipRecord &record) const noexcept;
     void takeOwnWrite(const OwnershipRecord &record, std::uint64_t revision);
     std::size_t rank() const;
-    bool isEarlierControllerGone(const OwnershipRecord &record) const;
+    bool isLifeOver(const DaemonIdentity &life) const;
+    /// When most of `voters` last confirmed this daemon, by the sending time of the beat.
+    Time confirmedByMost(const std::vector<DaemonIdentity> &voters) const;
+    bool hasAuthority() const;
+    std::vector<DaemonIdentity> chooseVoters() const;
+    bool areVotersWorn() const;
+    void settlePredecessors();
+    std::set<std::string> askedDaemons() const;
     /// Whether the store has named this daemon since its last pause.
     bool isConfirmed() const noexcept { return m_confirmedAt >= m_confirmFrom; }
     void beatIfDue();
@@ -340,7 +377,12 @@
     std::uint64_t m_resignedTo = 0; ///< Latest term whose controller was told that this one has ended.
     OwnershipRecord m_pending; ///< In the write under way.
     std::uint64_t m_revision = 0;
-    std::optional<OwnershipRecord> m_previous; ///< The record that was taken over.
+    bool m_isStopping = false;
+    std::vector<PastController> m_unsettled; ///< Predecessors not known to have stopped.
+    std::map<std::string, ControlAck> m_acks; ///< Latest of each daemon.
+    Time m_startedAt = 0ms;
+    Time m_nextVoters = 0ms;
+    bool m_isVoterWriteOpen = false; ///< The voters of m_pending may stand in the store.
     bool m_isWriting = false;
     bool m_isReading = false;
     Time m_nextRead = 0ms;
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -2,6 +2,8 @@
 #include <sardinehinge/core/rangecontrol.h>
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace sardinehinge::core {
@@ -37,11 +39,11 @@
     if (now - m_now > m_timing.controllerSilence)
         m_confirmFrom = now;
     m_now = now;
-    if (m_role == Role::Controller && now - m_confirmedAt > m_timing.authority)
+    if (m_role == Role::Controller && now - m_confirmedAt > m_timing.longestAuthority)
         stepDown("no word from the store for too long");
-    if (m_role != Role::Stopped)
-        std::visit([this](const auto &concrete) { on(concrete); }, event);
+    std::visit([this](const auto &concrete) { on(concrete); }, event);
     if (m_role == Role::Controller) {
+        settlePredecessors();
         driveRanges();
         writeIfDue();
         announceIfChanged();
@@ -81,7 +83,7 @@
 /// A daemon offers itself when the controller is silent, says that it leaves, or has lost the store for long.
 void RangeControl::considerClaim()
 {
-    if (m_role != Role::Follower || m_isReading || m_now < m_nextClaim)
+    if (m_role != Role::Follower || m_isStopping || m_isReading || m_now < m_nextClaim)
         return;
     const Duration turn = m_timing.rankStep * static_cast<Duration::rep>(rank());
     const Duration silence = m_now - m_heardAt;
@@ -111,14 +113,13 @@
         }
         return;
     }
-    if (m_role != Role::Follower)
+    if (m_role != Role::Follower || m_isStopping)
         return;
     const bool isNews = event.record && event.record->term > m_term;
     if (isNews) {
         // Somebody took over a moment ago: it gets its time to be heard, unless it is an earlier life of this daemon.
         followerSees(*event.record, event.revision);
-        if (event.record->controller != m_self.id && !event.record->isResigned
-            && !isEarlierControllerGone(*event.record))
+        if (!isLifeOver({event.record->controller, event.record->controllerIncarnation}))
             return;
     }
     claim(event.record, event.revision);
@@ -137,12 +138,17 @@
 
 void RangeControl::claim(const std::optional<OwnershipRecord> &record, std::uint64_t revision)
 {
-    m_previous = record;
     m_pending = record.value_or(OwnershipRecord{});
+    // Whoever controlled before may still go on, and so may those that it took over from.
+    std::erase_if(m_pending.predecessors,
+                  [this](const PastController &past) { return past.identity.id == m_pending.controller; });
+    if (!m_pending.controller.empty())
+        m_pending.predecessors.push_back(
+            {{m_pending.controller, m_pending.controllerIncarnation}, m_pending.term, m_pending.voters});
     m_pending.term = std::max(m_term, m_pending.term) + 1;
     m_pending.controller = m_self.id;
     m_pending.controllerIncarnation = m_self.incarnation;
-    m_pending.isResigned = false;
+    m_pending.voters = chooseVoters();
     m_role = Role::Claiming;
     note(events::rangeControlClaimed, "term " + std::to_string(m_pending.term));
     m_effects.emplace_back(WriteOwnership{m_pending, revision});
@@ -196,6 +202,7 @@
     }
     m_written = record;
     m_isWriting = false;
+    m_isVoterWriteOpen = false;
     m_nextWrite = m_now;
 }
 
@@ -207,21 +214,125 @@
     m_term = record.term;
     m_controller = record.controller;
     m_heardAt = m_now;
-    m_isControllerLeaving = record.isResigned;
+    m_isControllerLeaving = false;
     m_controllerStoreAge = 0ms;
 }
 
-bool RangeControl::isEarlierControllerGone(const OwnershipRecord &record) const
+bool RangeControl::isLifeOver(const DaemonIdentity &life) const
 {
-    if (record.isResigned || record.controller.empty())
+    if (life.id.empty())
         return true;
-    if (record.controller == m_self.id)
-        return record.controllerIncarnation != m_self.incarnation;
-    return std::any_of(m_peers.begin(), m_peers.end(), [&record](const PeerDaemon &peer) {
-        return peer.id == record.controller && peer.incarnation > record.controllerIncarnation;
+    if (life.id == m_self.id)
+        return life.incarnation != m_self.incarnation;
+    return std::any_of(m_peers.begin(), m_peers.end(), [&life](const PeerDaemon &peer) {
+        return peer.id == life.id && peer.incarnation > life.incarnation;
     });
 }
 
+Time RangeControl::confirmedByMost(const std::vector<DaemonIdentity> &voters) const
+{
+    std::vector<Time> times;
+    for (const DaemonIdentity &voter : voters) {
+        const auto ack = m_acks.find(voter.id);
+        if (voter == m_self)
+            times.push_back(m_now);
+        else if (ack != m_acks.end() && ack->second.from == voter && ack->second.term == m_term)
+            times.push_back(ack->second.sentAt);
+    }
+    const std::size_t most = (voters.size() / 2) + 1;
+    if (times.size() < most)
+        return Time::min();
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[most - 1];
+}
+
+/// While a write that changes the voters is without an answer, both lists count: a later controller reads one of them.
+bool RangeControl::hasAuthority() const
+{
+    if (!isConfirmed())
+        return false;
+    if (m_now - m_confirmedAt < m_timing.authority)
+        return true;
+    const Time byVoters = std::min(confirmedByMost(m_written.voters),
+                                   confirmedByMost(m_isVoterWriteOpen ? m_pending.voters : m_written.voters));
+    return byVoters > m_now - m_timing.authority && byVoters >= m_confirmFrom;
+}
+
+std::vector<DaemonIdentity> RangeControl::chooseVoters() const
+{
+    // Daemons that answered lately first; then in the order of their ranks.
+    constexpr Duration lately = std::chrono::seconds(2);
+    std::vector<std::tuple<bool, std::uint64_t, DaemonIdentity>> order;
+    for (const PeerDaemon &peer : m_peers) {
+        const auto ack = m_acks.find(peer.id);
+        const bool isSilent = ack == m_acks.end() || m_now - ack->second.sentAt > lately;
+        order.emplace_back(isSilent, rankHash(m_service, peer.id), DaemonIdentity{peer.id, peer.incarnation});
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<DaemonIdentity> voters{m_self};
+    for (const auto &[isSilent, hash, identity] : order) {
+        if (voters.size() < m_timing.voters)
+            voters.push_back(identity);
+    }
+    return voters;
+}
+
+/// Whether other voters would serve better: some have ended, or there were too few daemons when they were chosen.
+bool RangeControl::areVotersWorn() const
+{
+    const auto over = std::count_if(m_written.voters.begin(), m_written.voters.end(),
+                                    [this](const DaemonIdentity &voter) { return isLifeOver(voter); });
+    return over != 0 || m_written.voters.size() < std::min(m_timing.voters, m_peers.size() + 1);
+}
+
+std::set<std::string> RangeControl::askedDaemons() const
+{
+    std::set<std::string> asked;
+    for (const DaemonIdentity &voter : m_written.voters)
+        asked.insert(voter.id);
+    for (const PastController &past : m_unsettled) {
+        for (const DaemonIdentity &voter : past.voters)
+            asked.insert(voter.id);
+    }
+    for (const PeerDaemon &peer : m_peers) {
+        if (asked.size() < m_timing.askedDaemons)
+            asked.insert(peer.id);
+    }
+    return asked;
+}
+
+/// Learns which predecessors have stopped. Leases that they gave have ended soon after the last of them did.
+void RangeControl::settlePredecessors()
+{
+    if (m_unsettled.empty())
+        return;
+    std::erase_if(m_unsettled, [this](const PastController &past) {
+        if (isLifeOver(past.identity)) {
+            m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold());
+            return true;
+        }
+        const auto turned = std::count_if(past.voters.begin(), past.voters.end(), [this](const DaemonIdentity &voter) {
+            const auto ack = m_acks.find(voter.id);
+            return voter == m_self || isLifeOver(voter)
+                || (ack != m_acks.end() && ack->second.from == voter && ack->second.term >= m_written.term);
+        });
+        if (static_cast<std::size_t>(turned) <= past.voters.size() / 2)
+            return false;
+        const auto authority = m_timing.authority + m_timing.authority / 50;
+        m_inheritedUntil = std::max(m_inheritedUntil, m_now + authority + longestHold());
+        return true;
+    });
+    // Whoever has heard nothing from the store since this term began stops by itself.
+    const Time latest = m_startedAt + m_timing.longestAuthority + m_timing.longestAuthority / 100 + longestHold();
+    const Time bound = m_unsettled.empty() ? std::min(m_inheritedUntil, latest) : latest;
+    for (Entry &entry : m_entries) {
+        if (entry.isInherited)
+            entry.mayHoldUntil = bound;
+    }
+    if (m_now > latest)
+        m_unsettled.clear();
+}
+
 void RangeControl::startControl()
 {
     m_role = Role::Controller;
@@ -230,6 +341,7 @@
     m_isControllerLeaving = false;
     m_controllerStoreAge = 0ms;
     m_isWriting = false;
+    m_isVoterWriteOpen = false;
     m_fenceCount = 0;
     m_sequence = 0;
     m_isReading = false;
@@ -237,15 +349,18 @@
     m_orders.clear();
     m_announced.clear();
     m_load = {};
-    const bool isGone = !m_previous || isEarlierControllerGone(*m_previous);
-    m_inheritedUntil = m_now + longestHold() + (isGone ? Duration(0) : m_timing.authority + m_timing.authority / 100);
+    m_startedAt = m_now;
+    m_acks.clear();
+    m_unsettled = m_written.predecessors;
+    m_inheritedUntil = m_now + longestHold();
+    const Time latest = m_now + m_timing.longestAuthority + m_timing.longestAuthority / 100 + longestHold();
     m_entries.clear();
     for (const OwnedRange &owned : m_written.ranges) {
         Entry entry;
         entry.owned = owned;
         entry.isInherited = true;
         entry.phase = owned.owner.id.empty() ? Phase::Free : Phase::Granting;
-        entry.mayHoldUntil = owned.owner.id.empty() ? m_now : m_inheritedUntil;
+        entry.mayHoldUntil = owned.owner.id.empty() ? m_now : (m_unsettled.empty() ? m_inheritedUntil : latest);
         // Fences of this term: what earlier controllers may still send is refused from the first grant on.
         entry.owned.fence = entry.firstFence = nextFence();
         m_entries.push_back(entry);
@@ -254,8 +369,7 @@
     m_nextBeat = m_now;
     note(events::rangeControlStarted,
          "term " + std::to_string(m_term) + " revision " + std::to_string(m_revision) + " ranges "
-             + std::to_string(m_entries.size())
-             + (isGone ? " previous controller gone" : " previous controller unknown"));
+             + std::to_string(m_entries.size()) + " predecessors " + std::to_string(m_unsettled.size()));
 }
 
 void RangeControl::stepDown(const std::string &why)
@@ -287,39 +401,46 @@
     m_heardAt = m_now;
     m_isControllerLeaving = event.isLeaving;
     m_controllerStoreAge = event.storeAge;
+    if (event.wantsAck)
+        m_effects.emplace_back(SendAck{event.from, {m_service, m_self, m_term, event.sentAt}});
+}
+
+void RangeControl::on(const ControlAck &event)
+{
+    if (m_role != Role::Controller)
+        return;
+    ControlAck &latest = m_acks[event.from.id];
+    if (latest.from.incarnation <= event.from.incarnation && latest.sentAt <= event.sentAt)
+        latest = event;
 }
 
 void RangeControl::on(const ControlResigned &event)
 {
-    if (m_role != Role::Controller || !m_previous || event.term != m_previous->term
-        || event.from != m_previous->controller)
+    if (m_role != Role::Controller)
+        return;
+    const auto before = m_unsettled.size();
+    std::erase_if(m_unsettled, [&event](const PastController &past) {
+        return past.identity.id == event.from && past.term == event.term;
+    });
+    if (m_unsettled.size() == before)
         return;
-    m_inheritedUntil = std::min(m_inheritedUntil, m_now + longestHold());
+    m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold());
     for (Entry &entry : m_entries) {
-        if (entry.isInherited)
-            entry.mayHoldUntil = std::min(entry.mayHoldUntil, m_inheritedUntil);
+        if (entry.isInherited && m_unsettled.empty())
+            entry.mayHoldUntil = m_inheritedUntil;
     }
 }
 
 void RangeControl::on(const ControlPeers &event)
 {
     m_peers = event.peers;
-    if (m_role != Role::Controller || !m_previous || m_inheritedUntil <= m_now + longestHold())
-        return;
-    if (isEarlierControllerGone(*m_previous))
-        on(ControlResigned{m_service, m_previous->controller, m_previous->term});
 }
 
+/// A controller that is told to stop goes on until another daemon has taken over, which it invites.
 void RangeControl::on(const ControlStop &)
 {
-    if (m_role == Role::Controller) {
-        OwnershipRecord resigned = m_written;
-        resigned.isResigned = true;
-        m_effects.emplace_back(WriteOwnership{resigned, m_revision});
-        m_effects.emplace_back(SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, true}});
-        note(events::rangeControlEnded, "term " + std::to_string(m_term) + ": the daemon stops");
-    }
-    m_role = Role::Stopped;
+    m_isStopping = true;
+    m_nextBeat = m_now;
 }
 
 void RangeControl::beatIfDue()
@@ -327,7 +448,8 @@
     if (m_now < m_nextBeat)
         return;
     m_nextBeat = m_now + m_timing.heartbeat;
-    m_effects.emplace_back(SendBeat{{m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, false}});
+    m_effects.emplace_back(SendBeat{
+        {m_service, m_self.id, m_term, m_sequence, m_now - m_confirmedAt, m_isStopping, m_now, false}, askedDaemons()});
 }
 
 void RangeControl::confirmIfDue()
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -90,7 +90,7 @@
 
 void RangeControl::driveRanges()
 {
-    if (!isConfirmed())
+    if (!hasAuthority())
         return;
     for (Entry &entry : m_entries)
         drive(entry);
@@ -350,6 +350,16 @@
 OwnershipRecord RangeControl::recordToWrite()
 {
     OwnershipRecord record = m_written;
+    // A write that was given up may still take effect: until that is known, only its voters may be written again.
+    if (m_isVoterWriteOpen) {
+        record.voters = m_pending.voters;
+    } else if (areVotersWorn() && m_now >= m_nextVoters) {
+        record.voters = chooseVoters();
+        m_nextVoters = m_now + m_timing.votersPause;
+        m_isVoterWriteOpen = record.voters != m_written.voters;
+    }
+    if (m_unsettled.empty() && m_now >= m_inheritedUntil)
+        record.predecessors.clear();
     record.ranges.clear();
     for (Entry &entry : m_entries) {
         OwnedRange owned = entry.owned;
@@ -379,13 +389,14 @@
     }
     const bool isAnyFree = std::any_of(m_entries.begin(), m_entries.end(),
                                        [](const Entry &entry) { return entry.phase == Phase::Free; });
-    if (!isAnyFree)
+    const bool areVotersDue = areVotersWorn() && m_now >= m_nextVoters;
+    if (!isAnyFree && !areVotersDue)
         return;
     chooseDestinations();
     const bool isAnyChosen = std::any_of(m_entries.begin(), m_entries.end(), [this](const Entry &entry) {
         return entry.phase == Phase::Free && findTarget(entry.destination) != nullptr;
     });
-    if (!isAnyChosen)
+    if (!isAnyChosen && !areVotersDue)
         return;
     m_pending = recordToWrite();
     m_isWriting = true;
@@ -398,6 +409,7 @@
     m_isWriting = false;
     m_nextWrite = m_now;
     m_written = m_pending;
+    m_isVoterWriteOpen = false;
     std::size_t count = 0;
     for (Entry &entry : m_entries) {
         if (!entry.isBeingWritten)
@@ -426,7 +438,7 @@
 
 void RangeControl::planIfDue()
 {
-    if (m_now < m_nextPlan || !isConfirmed())
+    if (m_now < m_nextPlan || !hasAuthority() || m_isStopping)
         return;
     m_nextPlan = m_now + m_timing.planEvery;
     mergeNeighbours();
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -301,11 +301,11 @@
     });
 }
 
-void RangeWorld::broadcast(std::size_t from, const ControlEvent &event)
+void RangeWorld::sendTo(std::size_t from, const std::string &to, const ControlEvent &event)
 {
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         const bool isCut = m_daemons[index].isCutFromPeers || m_daemons[from].isCutFromPeers;
-        if (index == from || isCut || (m_faults.network && chance(0.05)))
+        if (index == from || m_daemons[index].identity.id != to || isCut || (m_faults.network && chance(0.05)))
             continue;
         at(delay(1, 6), [this, index, event, incarnation = m_daemons[index].identity.incarnation] {
             deliver(index, incarnation, event);
@@ -324,12 +324,21 @@
 
 void RangeWorld::act(std::size_t index, const SendBeat &effect)
 {
-    broadcast(index, effect.beat);
+    for (const Daemon &daemon : m_daemons) {
+        ControlBeat beat = effect.beat;
+        beat.wantsAck = effect.asked.contains(daemon.identity.id);
+        sendTo(index, daemon.identity.id, beat);
+    }
+}
+
+void RangeWorld::act(std::size_t index, const SendAck &effect)
+{
+    sendTo(index, effect.to, effect.ack);
 }
 
 void RangeWorld::act(std::size_t index, const SendResigned &effect)
 {
-    broadcast(index, effect.message);
+    sendTo(index, effect.to, effect.message);
 }
 
 void RangeWorld::act(std::size_t daemon, const ControlNote &effect)
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -103,10 +103,11 @@
     void act(std::size_t daemon, const RangeOrder &effect);
     void act(std::size_t daemon, const AnnounceOwners &effect);
     void act(std::size_t daemon, const SendBeat &effect);
+    void act(std::size_t daemon, const SendAck &effect);
     void act(std::size_t daemon, const SendResigned &effect);
     void act(std::size_t daemon, const ControlNote &effect);
     void note(const std::string &text);
-    void broadcast(std::size_t from, const ControlEvent &event);
+    void sendTo(std::size_t from, const std::string &to, const ControlEvent &event);
     ControlEvent applyWrite(const WriteOwnership &write, Time asked);
     bool applyOrder(Target &target, const RangeOrder &order, Time arrived);
     void startDaemon(std::size_t index);
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -135,7 +135,8 @@
             state.hasStoppedListening = true;
             state.traffic->drain();
         }
-        const bool isDone = state.hasStoppedListening && state.traffic->connections() == 0;
+        const bool isDone
+            = state.hasStoppedListening && state.traffic->connections() == 0 && state.control->hasResigned();
         if (!isDone && since < state.settings.stopTime - stopMargin)
             return;
         state.events.record(Severity::Info, core::events::daemonStopped,
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace sardinehinge::daemon {
@@ -283,7 +284,7 @@
         publishTargets();
     const core::Time now = bootTime();
     for (auto &[name, service] : m_services) {
-        if (m_isResigning || !m_hasEntered || !m_hasTargets)
+        if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
             continue;
         if (service.control == nullptr) {
             service.control = std::make_unique<core::RangeControl>(name, m_self, now);
@@ -300,6 +301,9 @@
         }
         run(name, core::ControlTick{});
     }
+    m_hasResigned.store(m_isResigning && std::all_of(m_services.begin(), m_services.end(), [](const auto &entry) {
+                            return entry.second.control == nullptr || entry.second.control->isStopped();
+                        }));
     m_timer.expires_after(timerStep);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -357,7 +361,16 @@
 
 void GatewayControl::act(const std::string &, const core::SendBeat &effect)
 {
-    sendToAll(effect.beat);
+    for (const auto &[id, peer] : m_peers) {
+        core::ControlBeat beat = effect.beat;
+        beat.wantsAck = effect.asked.contains(id);
+        send(id, beat);
+    }
+}
+
+void GatewayControl::act(const std::string &, const core::SendAck &effect)
+{
+    send(effect.to, effect.ack);
 }
 
 void GatewayControl::act(const std::string &, const core::SendResigned &effect)
@@ -452,6 +465,11 @@
         send(from, protocol::OwnersWanted{message.service});
 }
 
+void GatewayControl::heard(const std::string &, const core::ControlAck &message)
+{
+    run(message.service, message);
+}
+
 void GatewayControl::heard(const std::string &, const core::ControlResigned &message)
 {
     run(message.service, message);
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <atomic>
 #include <map>
 
 namespace sardinehinge::daemon {
@@ -37,8 +38,10 @@
 
     /// From the traffic duty.
     Ring<FromTraffic> &reports() noexcept { return m_reports; }
-    /// Gives up control of all services, so that others take over at once. Safe to call from every thread.
+    /// Hands control of all services over. Safe to call from every thread.
     void resign();
+    /// Whether, after resign(), others control all services. Safe to call from every thread.
+    bool hasResigned() const noexcept { return m_hasResigned.load(); }
 
 private:
     /// One sharded service.
@@ -69,6 +72,7 @@
     void act(const std::string &service, const core::RangeOrder &effect);
     void act(const std::string &service, const core::AnnounceOwners &effect);
     void act(const std::string &service, const core::SendBeat &effect);
+    void act(const std::string &service, const core::SendAck &effect);
     void act(const std::string &service, const core::SendResigned &effect);
     void act(const std::string &service, const core::ControlNote &effect);
     void take(const ServiceKeyLoad &report);
@@ -79,6 +83,7 @@
     void received(std::size_t bytes);
     void heard(const std::string &from, const core::RangeOwners &message);
     void heard(const std::string &from, const core::ControlBeat &message);
+    void heard(const std::string &from, const core::ControlAck &message);
     void heard(const std::string &from, const core::ControlResigned &message);
     void heard(const std::string &from, const protocol::OwnersWanted &message);
     void heard(const std::string &from, const protocol::LoadMessage &message);
@@ -107,6 +112,7 @@
     bool m_hasTargets = false;
     bool m_isReachable = true;
     bool m_isResigning = false;
+    std::atomic<bool> m_hasResigned = false;
     std::uint64_t m_configVersion = 0;
     core::TargetRegistry m_registry;
     std::map<std::string, core::PeerDaemon> m_peers;
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -92,6 +92,7 @@
     http::ServerLimits serverLimits() const;
 
     edges::GatewaySettings m_settings;
+    core::CallerBounds m_bounds; ///< Of the configuration in force; the servers below are made with the defaults.
     std::unique_ptr<edges::RequestDialect> m_dialect;
     EventLog &m_events;
     Metrics &m_metrics;
@@ -104,7 +105,6 @@
     http::Server m_readiness;
     http::Client m_client;
     core::GatewayRouter m_router;
-    core::CallerBounds m_bounds;
     Ring<ToTraffic> m_updates;
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::set<std::string> m_shardedServices;
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -21,6 +21,14 @@
   3: i64 sequence,
   4: i64 storeAgeMs,
   5: bool isLeaving,
+  6: i64 sentAt,
+  7: bool wantsAck,
+}
+
+struct Ack {
+  1: string group,
+  2: i64 term,
+  3: i64 sentAt,
 }
 
 struct Resigned {
@@ -69,4 +77,5 @@
   7: optional Load load,
   8: optional Refused refused,
   9: optional Hello hello,
+  10: optional Ack ack,
 }
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -55,9 +55,20 @@
         beat.__set_sequence(toWire(message.sequence));
         beat.__set_storeAgeMs(std::chrono::duration_cast<std::chrono::milliseconds>(message.storeAge).count());
         beat.__set_isLeaving(message.isLeaving);
+        beat.__set_sentAt(message.sentAt.count());
+        beat.__set_wantsAck(message.wantsAck);
         out.__set_beat(beat);
     }
 
+    void operator()(const core::ControlAck &message) const
+    {
+        gatewaywire::Ack ack;
+        ack.__set_group(message.service);
+        ack.__set_term(toWire(message.term));
+        ack.__set_sentAt(message.sentAt.count());
+        out.__set_ack(ack);
+    }
+
     void operator()(const core::ControlResigned &message) const
     {
         gatewaywire::Resigned resigned;
@@ -152,8 +163,8 @@
 std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
 {
     const auto &isset = in.__isset;
-    const int count
-        = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused + isset.hello;
+    const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
+        + isset.hello + isset.ack;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -164,7 +175,12 @@
                                  fromWire(in.beat.term),
                                  fromWire(in.beat.sequence),
                                  std::chrono::milliseconds(in.beat.storeAgeMs),
-                                 in.beat.isLeaving};
+                                 in.beat.isLeaving,
+                                 core::Time(in.beat.sentAt),
+                                 in.beat.wantsAck};
+    if (isset.ack)
+        return core::ControlAck{
+            in.ack.group, {in.sender, fromWire(in.incarnation)}, fromWire(in.ack.term), core::Time(in.ack.sentAt)};
     if (isset.resigned)
         return core::ControlResigned{in.resigned.group, in.sender, fromWire(in.resigned.term)};
     if (isset.wanted)
