--- a/benchmark/loadgen.cpp
+++ b/benchmark/loadgen.cpp
@@ -1,8 +1,8 @@
 #include "loadoptions.h"
 #include "loadreport.h"
 
-#include <sardinehinge/http/client.h>
 #include <sardinehinge/edges/ownershipcodec.h>
+#include <sardinehinge/http/client.h>
 
 #include <QJsonDocument>
 #include <QJsonObject>
--- a/packages/core/src/keyrange.cpp
+++ b/packages/core/src/keyrange.cpp
@@ -6,9 +6,9 @@
 
 const RoutedRange *RangeOwners::find(std::uint32_t key) const noexcept
 {
-    const auto after = std::upper_bound(
-        ranges.begin(), ranges.end(), key,
-        [](std::uint32_t wanted, const RoutedRange &entry) { return wanted < entry.range.first; });
+    const auto after
+        = std::upper_bound(ranges.begin(), ranges.end(), key,
+                           [](std::uint32_t wanted, const RoutedRange &entry) { return wanted < entry.range.first; });
     if (after == ranges.begin())
         return nullptr;
     const auto entry = std::prev(after);
--- a/packages/core/src/retrybudget.cpp
+++ b/packages/core/src/retrybudget.cpp
@@ -30,8 +30,8 @@
 
 bool RetryBudget::spend(const RetryAllowance &allowance, std::size_t daemons, Time now)
 {
-    // An entry covers one step from its time on. Repeats count while any of it may be in the window, requests only while
-    // all of it is.
+    // An entry covers one step from its time on. Repeats count while any of it may be in the window, requests only
+    // while all of it is.
     const double requests = countFrom(m_requests, now - allowance.window);
     const double repeats = countFrom(m_repeats, now - allowance.window - step);
     const double share = allowance.slack / static_cast<double>(std::max<std::size_t>(daemons, 1));
--- a/packages/core/src/targetscore.cpp
+++ b/packages/core/src/targetscore.cpp
@@ -32,9 +32,9 @@
         m_unanswered = 0;
         m_nextEjection = 0ms;
         m_ejectedUntil = 0ms;
-        m_latency = m_latency == 0ms
-            ? taken
-            : m_latency + Duration(static_cast<std::int64_t>(m_timing.gain * static_cast<double>((taken - m_latency).count())));
+        m_latency = m_latency == 0ms ? taken
+                                     : m_latency
+                + Duration(static_cast<std::int64_t>(m_timing.gain * static_cast<double>((taken - m_latency).count())));
         if (!isSlow && wasFull)
             m_limit = std::min(m_timing.limitMax, m_limit + 1 / m_limit);
         return;
--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -230,8 +230,8 @@
     REQUIRE(busiest() > 5 * mean);
     for (int round = 0; round < 4; ++round) {
         for (RangeCandidate &candidate : candidates)
-            candidate.ranges = static_cast<std::size_t>(
-                std::count_if(ranges.begin(), ranges.end(), [&](const auto &range) { return range.owner == candidate.id; }));
+            candidate.ranges = static_cast<std::size_t>(std::count_if(
+                ranges.begin(), ranges.end(), [&](const auto &range) { return range.owner == candidate.id; }));
         for (const RangeMove &move : planRangeMoves(ranges, candidates, load)) {
             std::vector<RoutedRange> next;
             for (const RoutedRange &range : ranges) {
@@ -255,7 +255,8 @@
 {
     KeyLoad load;
     load.add({{10, 1}, {11, 1000}, {12, 1}, {40000, 10}});
-    const std::vector<RoutedRange> ranges = {{{0, 32767}, "a", RangeState::Held}, {{32768, lastKey}, "b", RangeState::Held}};
+    const std::vector<RoutedRange> ranges
+        = {{{0, 32767}, "a", RangeState::Held}, {{32768, lastKey}, "b", RangeState::Held}};
     const auto moves = planRangeMoves(ranges, {{"a", 1, 1}, {"b", 1, 1}}, load);
     for (const RangeMove &move : moves)
         CHECK_FALSE(move.range.contains(11));
--- a/packages/core/tests/gatewayrouter_test.cpp
+++ b/packages/core/tests/gatewayrouter_test.cpp
@@ -67,8 +67,8 @@
 
     void own(RangeState state, std::uint64_t sequence, const std::string &first = "archive0")
     {
-        take(router.setOwners({keyed, 1, sequence, {{{0, 32767}, first, state}, {{32768, lastKey}, "archive1", RangeState::Held}}},
-                              now));
+        take(router.setOwners(
+            {keyed, 1, sequence, {{{0, 32767}, first, state}, {{32768, lastKey}, "archive1", RangeState::Held}}}, now));
     }
 
     RequestId arrive(const std::string &path, std::optional<std::uint32_t> key = std::nullopt)
@@ -315,14 +315,14 @@
     CHECK(bench.sends[sent].id == urgent);
 }
 
-TEST_CASE("Every request has one end in any order of events, and none that must not run twice is sent after it may have run")
+TEST_CASE(
+    "Every request has one end in any order of events, and none that must not run twice is sent after it may have run")
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         INFO("seed " << seed);
         std::mt19937_64 random(seed);
-        const auto any = [&random](std::size_t count) {
-            return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
-        };
+        const auto any
+            = [&random](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); };
         Bench bench(3, 2);
         std::map<RequestId, bool> isIdempotent;
         std::map<RequestId, bool> mayHaveRun;
@@ -330,7 +330,7 @@
         std::vector<SendToTarget> open;
         std::size_t seen = 0;
         constexpr std::array ends
-            = {AttemptEnd::Answered,    AttemptEnd::Answered,   AttemptEnd::Answered,       AttemptEnd::Shed,
+            = {AttemptEnd::Answered,    AttemptEnd::Answered,   AttemptEnd::Answered,        AttemptEnd::Shed,
                AttemptEnd::NothingSent, AttemptEnd::AnswerLost, AttemptEnd::AnswerTruncated, AttemptEnd::NotOwner};
         for (int round = 0; round < 400; ++round) {
             bench.now += std::chrono::milliseconds(any(30));
--- a/packages/daemon/include/sardinehinge/daemon/gateway.h
+++ b/packages/daemon/include/sardinehinge/daemon/gateway.h
@@ -9,8 +9,8 @@
 
 namespace sardinehinge::daemon {
 
-/// A daemon on a hosting platform: a traffic duty and a control duty, joined by rings. Lives on a thread with a Qt event
-/// loop, which it ends when a stop is complete.
+/// A daemon on a hosting platform: a traffic duty and a control duty, joined by rings. Lives on a thread with a Qt
+/// event loop, which it ends when a stop is complete.
 class Gateway
 {
 public:
--- a/packages/daemon/src/controlduty_operators.cpp
+++ b/packages/daemon/src/controlduty_operators.cpp
@@ -92,9 +92,8 @@
         return m_operations.set(command.operation, std::move(operation));
     }
     m_operatorWrites[command.operation] = command.spec.name;
-    m_outlets.toPlatform(WriteObject{edges::workspaceObject(command.spec.name),
-                                     edges::encodeWorkspace(command.spec), command.author, command.operation,
-                                     command.expectedRevision});
+    m_outlets.toPlatform(WriteObject{edges::workspaceObject(command.spec.name), edges::encodeWorkspace(command.spec),
+                                     command.author, command.operation, command.expectedRevision});
 }
 
 void ControlDuty::onOperator(const CheckInForce &query)
--- a/packages/daemon/src/dutymessages.h
+++ b/packages/daemon/src/dutymessages.h
@@ -3,8 +3,8 @@
 #include <sardinehinge/core/controlgroup.h>
 #include <sardinehinge/core/documents.h>
 #include <sardinehinge/core/requestrouter.h>
-#include <sardinehinge/http/message.h>
 #include <sardinehinge/edges/objectstore.h>
+#include <sardinehinge/http/message.h>
 #include <sardinehinge/protocol/peercodec.h>
 
 #include <cstdint>
--- a/packages/daemon/src/routingduty.h
+++ b/packages/daemon/src/routingduty.h
@@ -8,8 +8,8 @@
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
 #include <sardinehinge/daemon/worker.h>
-#include <sardinehinge/http/client.h>
 #include <sardinehinge/edges/httpadapters.h>
+#include <sardinehinge/http/client.h>
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/packages/edges/include/sardinehinge/edges/httpadapters.h
+++ b/packages/edges/include/sardinehinge/edges/httpadapters.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <sardinehinge/http/client.h>
 #include <sardinehinge/edges/instancelist.h>
 #include <sardinehinge/edges/objectstore.h>
 #include <sardinehinge/edges/targetcontrol.h>
 #include <sardinehinge/edges/targettraffic.h>
+#include <sardinehinge/http/client.h>
 
 #include <QNetworkAccessManager>
 #include <QUrl>
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -167,7 +167,8 @@
         {"two earlier ones first", foreign + foreign + own, http::ExchangeStep::Complete, "mine"},
         {"no own answer", foreign, http::ExchangeStep::Written, ""},
         {"no header", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", http::ExchangeStep::Written, ""},
-        {"an earlier one without a length", "HTTP/1.1 200 OK\r\nId: old\r\n\r\n" + own, http::ExchangeStep::Written, ""},
+        {"an earlier one without a length", "HTTP/1.1 200 OK\r\nId: old\r\n\r\n" + own, http::ExchangeStep::Written,
+         ""},
     }));
     INFO(name);
     ScriptedPeer peer({name, true, answers, true});
@@ -192,7 +193,8 @@
     http::ExchangeOptions options;
     options.acceptsUndelimited = true;
     http::ExchangeEnd end;
-    client.send(peer.address(), {"GET", "/", {}, {}, {}}, options, [&](http::ExchangeEnd got) { end = std::move(got); });
+    client.send(peer.address(), {"GET", "/", {}, {}, {}}, options,
+                [&](http::ExchangeEnd got) { end = std::move(got); });
     context.run_for(std::chrono::seconds(5));
     CHECK(end.step == http::ExchangeStep::Complete);
     CHECK(end.response.body == "all of it");
