--- a/packages/core/include/sardinehinge/core/rangeplanner.h
+++ b/packages/core/include/sardinehinge/core/rangeplanner.h
@@ -54,14 +54,17 @@
 struct PlanLimits
 {
     std::size_t moves = 8; ///< At most this many at a time: each keeps keys away for a moment.
-    double tolerance = 1.2; ///< A target is relieved above this multiple of the mean use.
-    std::size_t rangesPerTarget = 6; ///< A target with more gets no further piece: every range is renewed by itself.
+    double tolerance = 1.2; ///< A target is relieved above this multiple of its fair load,
+    double deviations = 2; ///< and this many standard deviations, so that noise moves no keys.
+    std::size_t rangesPerTarget = 3; ///< A target with more gets no further piece: each piece is renewed by itself, and
+                                     ///< each move keeps its keys away while work on them ends.
 
     bool operator==(const PlanLimits &) const = default;
 };
 
 /// The moves that bring every target's load nearer to its capacity's share. Meant for few hot, neighbouring keys: it
-/// takes pieces off the ends of the ranges of the busiest targets and gives them to the least used ones.
+/// takes pieces off the ends of the ranges of the busiest targets and gives them to targets with room, best to owners
+/// of neighbouring ranges.
 std::vector<RangeMove> planRangeMoves(const std::vector<RoutedRange> &ranges,
                                       const std::vector<RangeCandidate> &candidates, const KeyLoad &load,
                                       const PlanLimits &limits = {});
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -10,15 +10,21 @@
 
 namespace {
 
+void mix(std::uint64_t &hash, const std::string &text) noexcept
+{
+    for (const char c : text) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= 0x100000001b3;
+    }
+}
+
 /// Order of the daemons in which they offer themselves for a service: differs between services, so that control of
 /// several services spreads. FNV-1a.
 std::uint64_t rankHash(const std::string &service, const std::string &daemon) noexcept
 {
     std::uint64_t hash = 0xcbf29ce484222325;
-    for (const char c : service + "/" + daemon) {
-        hash ^= static_cast<unsigned char>(c);
-        hash *= 0x100000001b3;
-    }
+    mix(hash, service);
+    mix(hash, daemon);
     return hash;
 }
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -16,8 +16,9 @@
 constexpr double warmingShare = 0.5;
 /// Neighbouring ranges of an owner are merged when it has more than this many: each is renewed by itself.
 constexpr std::size_t comfortableRanges = 2;
-/// Pull of a target's fastest known latency towards newer, slower ones: about a tenth in a second.
-constexpr double fastestDrift = 1.005;
+/// Pull of a target's fastest known latency towards newer, slower ones, for each report: some percent in ten
+/// seconds, so that a queue of a moment does not pass for a slow target.
+constexpr double fastestDrift = 1.0003;
 /// Latency assumed of targets that nobody has used yet.
 constexpr Duration unknownLatency = std::chrono::milliseconds(100);
 
--- a/packages/core/src/rangeplanner.cpp
+++ b/packages/core/src/rangeplanner.cpp
@@ -92,94 +92,162 @@
     return best;
 }
 
-std::vector<RangeMove> planRangeMoves(const std::vector<RoutedRange> &ranges,
-                                      const std::vector<RangeCandidate> &candidates, const KeyLoad &load,
-                                      const PlanLimits &limits)
+namespace {
+
+/// The state of one planning step: what each target would carry after the moves chosen so far.
+class Planner
 {
-    std::map<std::string, const RangeCandidate *> byId;
-    std::map<std::string, double> use;
-    std::map<std::string, std::size_t> counts;
-    double capacity = 0;
-    for (const RangeCandidate &candidate : candidates) {
-        byId[candidate.id] = &candidate;
-        use[candidate.id] = 0;
-        counts[candidate.id] = candidate.ranges;
-        capacity += candidate.capacity;
-    }
-    std::vector<RoutedRange> left;
-    double total = 0;
-    for (const RoutedRange &range : ranges) {
-        const double rangeLoad = load.of(range.range);
-        total += rangeLoad;
-        if (!byId.contains(range.owner))
-            continue;
-        use[range.owner] += rangeLoad;
-        if (range.state == RangeState::Held)
-            left.push_back(range);
+public:
+    Planner(const std::vector<RoutedRange> &ranges, const std::vector<RangeCandidate> &candidates, const KeyLoad &load,
+            const PlanLimits &limits)
+        : m_ranges(ranges)
+        , m_candidates(candidates)
+        , m_load(load)
+        , m_limits(limits)
+    {
+        double capacity = 0;
+        for (const RangeCandidate &candidate : candidates) {
+            m_byId[candidate.id] = &candidate;
+            m_counts[candidate.id] = candidate.ranges;
+            capacity += candidate.capacity;
+        }
+        double total = 0;
+        for (const RoutedRange &range : ranges) {
+            const double rangeLoad = load.of(range.range);
+            total += rangeLoad;
+            if (m_byId.contains(range.owner))
+                m_use[range.owner] += rangeLoad;
+        }
+        m_mean = capacity > 0 ? total / capacity : 0;
     }
-    std::vector<RangeMove> moves;
-    if (capacity <= 0 || total <= 0)
+
+    std::vector<RangeMove> run()
+    {
+        std::vector<RangeMove> moves;
+        while (m_mean > 0 && moves.size() < m_limits.moves) {
+            const RangeCandidate *busiest = findBusiest();
+            if (busiest == nullptr || !isOverloaded(*busiest))
+                break;
+            const auto option = bestOption(*busiest);
+            if (!option) {
+                m_exhausted.insert(busiest->id);
+                continue;
+            }
+            moves.push_back({option->piece, busiest->id, option->to});
+            apply(*option);
+        }
         return moves;
-    const double mean = total / capacity;
-    std::set<std::string> exhausted;
-    while (moves.size() < limits.moves) {
+    }
+
+private:
+    struct Option
+    {
+        std::size_t source = 0; ///< Index of the range that the piece is of.
+        KeyRange piece;
+        std::string to;
+        double load = 0;
+    };
+
+    double useOf(const RangeCandidate &candidate) { return m_use[candidate.id] / candidate.capacity; }
+
+    /// Whether the target's load exceeds its fair share by more than the tolerance and the noise of so few requests:
+    /// the deviation of a Poisson count is the root of its mean.
+    bool isOverloaded(const RangeCandidate &candidate)
+    {
+        const double fair = m_mean * candidate.capacity;
+        return m_use[candidate.id] > fair * m_limits.tolerance + m_limits.deviations * std::sqrt(fair);
+    }
+
+    const RangeCandidate *findBusiest()
+    {
         const RangeCandidate *busiest = nullptr;
-        for (const RangeCandidate &candidate : candidates) {
-            const bool isBusier
-                = busiest == nullptr || use[candidate.id] / candidate.capacity > use[busiest->id] / busiest->capacity;
-            if (!exhausted.contains(candidate.id) && isBusier)
+        for (const RangeCandidate &candidate : m_candidates) {
+            if (!m_exhausted.contains(candidate.id) && (busiest == nullptr || useOf(candidate) > useOf(*busiest)))
                 busiest = &candidate;
         }
-        if (busiest == nullptr || use[busiest->id] / busiest->capacity < mean * limits.tolerance)
-            break;
-        std::vector<RangeCandidate> others;
-        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(others),
-                     [&](const RangeCandidate &other) {
-                         return other.id != busiest->id && counts[other.id] < limits.rangesPerTarget;
-                     });
-        const std::string to = leastUsed(others, use, 0);
-        if (to.empty())
-            break;
-        const double spare = mean * byId[to]->capacity - use[to];
-        const double wanted = std::min(use[busiest->id] - mean * busiest->capacity, spare);
-        std::optional<KeyRange> best;
-        double bestLoad = 0;
-        RoutedRange *source = nullptr;
-        for (RoutedRange &range : left) {
-            if (range.owner != busiest->id)
+        return busiest;
+    }
+
+    /// The target with most room that may take another range, or nullptr.
+    const RangeCandidate *findRoomiest(const RangeCandidate &except)
+    {
+        const RangeCandidate *roomiest = nullptr;
+        for (const RangeCandidate &candidate : m_candidates) {
+            const bool mayTake = candidate.id != except.id && m_counts[candidate.id] < m_limits.rangesPerTarget;
+            if (mayTake && (roomiest == nullptr || useOf(candidate) < useOf(*roomiest)))
+                roomiest = &candidate;
+        }
+        return roomiest;
+    }
+
+    void consider(std::size_t source, const std::optional<KeyRange> &piece, const std::string &to, double wanted,
+                  std::optional<Option> &best) const
+    {
+        const double load = piece ? m_load.of(*piece) : 0;
+        if (load >= leastPiece * wanted && load <= mostPiece * wanted && load > 0 && (!best || load > best->load))
+            best = Option{source, *piece, to, load};
+    }
+
+    std::optional<Option> bestOption(const RangeCandidate &from)
+    {
+        const RangeCandidate *to = findRoomiest(from);
+        if (to == nullptr)
+            return std::nullopt;
+        const double excess = m_use[from.id] - (m_mean * from.capacity);
+        const double wanted = std::min(excess, (m_mean * to->capacity) - m_use[to->id]);
+        if (wanted < leastShare * m_mean * from.capacity)
+            return std::nullopt;
+        std::optional<Option> best;
+        for (std::size_t index = 0; index < m_ranges.size(); ++index) {
+            const RoutedRange &range = m_ranges[index];
+            if (range.owner != from.id || range.state != RangeState::Held)
                 continue;
-            for (const bool fromEnd : {false, true}) {
-                const auto piece = load.part(range.range, wanted * 1.1, fromEnd);
-                if (const double pieceLoad = piece ? load.of(*piece) : 0; pieceLoad > bestLoad) {
-                    best = piece;
-                    bestLoad = pieceLoad;
-                    source = &range;
-                }
-            }
-            // A whole range may go as well, when its owner has others.
-            if (const double whole = load.of(range.range);
-                whole <= wanted * 1.1 && whole > bestLoad && counts[busiest->id] > 1) {
-                best = range.range;
-                bestLoad = whole;
-                source = &range;
-            }
+            consider(index, m_load.part(range.range, wanted * mostPiece, false), to->id, wanted, best);
+            consider(index, m_load.part(range.range, wanted * mostPiece, true), to->id, wanted, best);
+            if (m_counts[from.id] > 1)
+                consider(index, range.range, to->id, wanted, best);
         }
-        if (!best || bestLoad < 0.2 * wanted || bestLoad < 0.02 * mean * busiest->capacity) {
-            exhausted.insert(busiest->id);
-            continue;
+        return best;
+    }
+
+    void apply(const Option &option)
+    {
+        RoutedRange &source = m_ranges[option.source];
+        m_use[source.owner] -= option.load;
+        m_use[option.to] += option.load;
+        ++m_counts[option.to];
+        if (option.piece == source.range) {
+            source.owner = option.to;
+            source.state = RangeState::Moving;
+        } else if (option.piece.first == source.range.first) {
+            source.range.first = option.piece.last + 1;
+        } else {
+            source.range.last = option.piece.first - 1;
         }
-        moves.push_back({*best, busiest->id, to});
-        use[busiest->id] -= bestLoad;
-        use[to] += bestLoad;
-        ++counts[to];
-        if (*best == source->range)
-            source->owner.clear();
-        else if (best->first == source->range.first)
-            source->range.first = best->last + 1;
-        else
-            source->range.last = best->first - 1;
     }
-    return moves;
+
+    static constexpr double leastPiece = 0.2; ///< Of the load that should move; smaller pieces aren't worth a move.
+    static constexpr double mostPiece = 1.1;
+    static constexpr double leastShare = 0.05; ///< Of a target's fair load; less isn't worth a move.
+
+    std::vector<RoutedRange> m_ranges;
+    const std::vector<RangeCandidate> &m_candidates;
+    const KeyLoad &m_load;
+    const PlanLimits &m_limits;
+    std::map<std::string, const RangeCandidate *> m_byId;
+    std::map<std::string, std::size_t> m_counts;
+    std::map<std::string, double> m_use;
+    std::set<std::string> m_exhausted;
+    double m_mean = 0;
+};
+
+} // namespace
+
+std::vector<RangeMove> planRangeMoves(const std::vector<RoutedRange> &ranges,
+                                      const std::vector<RangeCandidate> &candidates, const KeyLoad &load,
+                                      const PlanLimits &limits)
+{
+    return Planner(ranges, candidates, load, limits).run();
 }
 
 } // namespace sardinehinge::core
--- a/packages/daemon/src/gatewaylog.cpp
+++ b/packages/daemon/src/gatewaylog.cpp
@@ -23,7 +23,7 @@
 namespace logging = boost::log;
 
 /// Bytes that may wait for standard output: some seconds of a stalled reader.
-constexpr std::size_t bufferBytes = 256 * 1024;
+constexpr std::size_t bufferBytes = 256UL * 1024;
 /// Details, such as a line for each request that was served, use at most this much of it.
 constexpr std::size_t detailBytes = bufferBytes / 2;
 /// Lines a second, and as many again for details; more cost processor time that callers need.
