--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -34,6 +34,10 @@
 constexpr std::uint32_t daemonStopped = 402;
 constexpr std::uint32_t peerMessageRefused = 404;
 
+// 500-599: operators.
+constexpr std::uint32_t workspaceApplied = 500;
+constexpr std::uint32_t workspaceApplyRefused = 501;
+
 // 600-699: the gateway.
 constexpr std::uint32_t gatewayConfigInForce = 600;
 constexpr std::uint32_t gatewayConfigRefused = 601;
@@ -56,11 +60,6 @@
 constexpr std::uint32_t keyRefused = 618;
 constexpr std::uint32_t ownersAnnounced = 619;
 constexpr std::uint32_t gatewayRequestEnded = 620;
-constexpr std::uint32_t gatewayAttemptEnded = 621;
 constexpr std::uint32_t peerJoined = 622;
 
-// 500-599: operators.
-constexpr std::uint32_t workspaceApplied = 500;
-constexpr std::uint32_t workspaceApplyRefused = 501;
-
 } // namespace sardinehinge::core::events
