Let the cost of control grow less with targets and instances

Change: a lease grows with the targets (48 ms each, 2 to 8 s) and stands in the record, so successors know how long to wait; owners are announced by their changes, and whoever missed one asks for the whole; load reports name only targets that served; watches pause longer after changes the more daemons there are.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -149,8 +149,8 @@
 
     /// Requests by key since the last call, for the placement of a sharded service's keys.
     std::map<std::uint32_t, std::uint32_t> takeKeyLoad(const std::string &service);
-    /// Smoothed latency of a service's targets, by id.
-    std::map<std::string, Duration> latencies(const std::string &service) const;
+    /// Smoothed latency, by id, of the service's targets that served a request since the last call.
+    std::map<std::string, Duration> takeLatencies(const std::string &service);
     bool hasConfig() const noexcept { return m_configVersion.has_value(); }
     std::uint64_t configVersion() const noexcept { return m_configVersion.value_or(0); }
     const RangeOwners *owners(const std::string &service) const noexcept;
--- a/packages/core/include/sardinehinge/core/keyrange.h
+++ b/packages/core/include/sardinehinge/core/keyrange.h
@@ -50,6 +50,7 @@
 {
     DaemonIdentity identity;
     std::uint64_t term = 0;
+    Duration lease = 0ms; ///< Longest that it gives.
     std::vector<DaemonIdentity> voters;
 
     bool operator==(const PastController &) const = default;
@@ -62,6 +63,7 @@
     std::uint64_t term = 0; ///< Rises with each change of the controller.
     std::string controller; ///< Id of the daemon.
     std::uint64_t controllerIncarnation = 0;
+    Duration lease = 0ms; ///< Of every grant in this term.
     /// Lives of daemons. While the store is away, the controller goes on only as long as most of them follow it.
     std::vector<DaemonIdentity> voters;
     std::vector<PastController> predecessors;
@@ -104,4 +106,22 @@
     const RoutedRange *find(std::uint32_t key) const noexcept;
 };
 
+/// What changed from one announcement to the next, for receivers that have the one before.
+struct RangeOwnersChange
+{
+    std::string service;
+    std::uint64_t term = 0;
+    std::uint64_t base = 0; ///< Sequence of the announcement before.
+    std::uint64_t sequence = 0;
+    std::vector<RoutedRange> ranges; ///< In order, without overlaps.
+
+    bool operator==(const RangeOwnersChange &) const = default;
+};
+
+/// The change from `before` to `after`, two announcements of one term.
+RangeOwnersChange changeBetween(const RangeOwners &before, const RangeOwners &after);
+
+/// `before` with `change` applied; nothing when the change has another base.
+std::optional<RangeOwners> applyChange(const RangeOwners &before, const RangeOwnersChange &change);
+
 } // namespace sardinehinge::core
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -15,9 +15,12 @@
 /// Periods and bounds of ownership. docs/DESIGN.md derives them.
 struct OwnershipTiming
 {
-    Duration lease = std::chrono::milliseconds(2000); ///< Time that a grant is given for.
+    Duration leasePerTarget = std::chrono::milliseconds(48); ///< A grant's time grows with the targets, so that one
+                                                             ///< controller gives some 80 grants a second at most,
+    Duration leaseMin = std::chrono::milliseconds(2000); ///< from the time that a takeover needs, twice,
+    Duration leaseMax = std::chrono::milliseconds(8000); ///< to below the targets' bound of 10 s.
     double clockSlack = 1.025; ///< A target's clock may run 2% slow, ours 0.5%.
-    Duration renewEvery = std::chrono::milliseconds(500); ///< A quarter of the lease: three losses in a row are borne.
+    std::int64_t renewalsPerLease = 4; ///< Three losses in a row are borne.
     Duration orderTimeout = std::chrono::milliseconds(600); ///< Targets with long queues answer within this.
     Duration secondOrder
         = std::chrono::milliseconds(250); ///< Without an answer, another order is sent beside the first.
@@ -344,7 +347,10 @@
     std::vector<RangeCandidate> candidates() const;
     std::map<std::string, double> use() const;
     std::uint64_t nextFence() noexcept { return m_term * fencesPerTerm + ++m_fenceCount; }
-    Duration longestHold() const noexcept;
+    /// From the sending of a grant to the end of the lease, at most; `lease` as given.
+    Duration longestHold(Duration lease) const noexcept;
+    Duration longestInheritedLease() const noexcept;
+    Duration leaseForTargets() const noexcept;
     bool hasOpenGrant(const Entry &entry) const;
     std::string addressOf(const std::string &target) const;
     void announceIfChanged();
--- a/packages/core/include/sardinehinge/core/targetscore.h
+++ b/packages/core/include/sardinehinge/core/targetscore.h
@@ -4,6 +4,7 @@
 #include <sardinehinge/core/types.h>
 
 #include <cstdint>
+#include <utility>
 
 namespace sardinehinge::core {
 
@@ -54,6 +55,8 @@
     double limit() const noexcept { return m_limit; }
     /// Smoothed latency; 0 before the first answer.
     Duration latency() const noexcept { return m_latency; }
+    /// Whether a request was served since the last call.
+    bool takeServed() noexcept { return std::exchange(m_hasServed, false); }
     /// Expected cost of one more request, in nanoseconds; lower is better. `norm`: latency of an average target.
     double cost(Duration norm, bool isRemote, bool isWarming, Time now) const noexcept;
 
@@ -68,6 +71,7 @@
     Time m_ejectedUntil = 0ms;
     Time m_lastSample = 0ms;
     Time m_lastCut = 0ms;
+    bool m_hasServed = false;
 };
 
 } // namespace sardinehinge::core
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -465,14 +465,12 @@
     return std::exchange(serviceOf(service).keyLoad, {});
 }
 
-std::map<std::string, Duration> GatewayRouter::latencies(const std::string &service) const
+std::map<std::string, Duration> GatewayRouter::takeLatencies(const std::string &service)
 {
     std::map<std::string, Duration> latencies;
-    if (const auto found = m_services.find(service); found != m_services.end()) {
-        for (const auto &[id, target] : found->second.targets) {
-            if (const Duration latency = target.score.latency(); latency > 0ms)
-                latencies[id] = latency;
-        }
+    for (auto &[id, target] : serviceOf(service).targets) {
+        if (target.score.takeServed())
+            latencies[id] = target.score.latency();
     }
     return latencies;
 }
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -146,15 +146,21 @@
 {
     m_pending = record.value_or(OwnershipRecord{});
     // Whoever controlled before may still go on, and so may those that it took over from.
-    std::erase_if(m_pending.predecessors,
-                  [this](const PastController &past) { return past.identity.id == m_pending.controller; });
+    Duration lease = m_pending.lease;
+    std::erase_if(m_pending.predecessors, [this, &lease](const PastController &past) {
+        if (past.identity.id != m_pending.controller)
+            return false;
+        lease = std::max(lease, past.lease);
+        return true;
+    });
     if (!m_pending.controller.empty())
         m_pending.predecessors.push_back(
-            {{m_pending.controller, m_pending.controllerIncarnation}, m_pending.term, m_pending.voters});
+            {{m_pending.controller, m_pending.controllerIncarnation}, m_pending.term, lease, m_pending.voters});
     m_pending.term = std::max(m_term, m_pending.term) + 1;
     m_pending.controller = m_self.id;
     m_pending.controllerIncarnation = m_self.incarnation;
     m_pending.voters = chooseVoters();
+    m_pending.lease = leaseForTargets();
     m_role = Role::Claiming;
     note(events::rangeControlClaimed, "term " + std::to_string(m_pending.term));
     m_effects.emplace_back(WriteOwnership{m_pending, revision});
@@ -314,7 +320,7 @@
         return;
     std::erase_if(m_unsettled, [this](const PastController &past) {
         if (isLifeOver(past.identity)) {
-            m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold());
+            m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold(longestInheritedLease()));
             return true;
         }
         const auto turned = std::count_if(past.voters.begin(), past.voters.end(), [this](const DaemonIdentity &voter) {
@@ -325,11 +331,12 @@
         if (static_cast<std::size_t>(turned) <= past.voters.size() / 2)
             return false;
         const auto authority = m_timing.authority + m_timing.authority / 50;
-        m_inheritedUntil = std::max(m_inheritedUntil, m_now + authority + longestHold());
+        m_inheritedUntil = std::max(m_inheritedUntil, m_now + authority + longestHold(longestInheritedLease()));
         return true;
     });
     // Whoever has heard nothing from the store since this term began stops by itself.
-    const Time latest = m_startedAt + m_timing.longestAuthority + m_timing.longestAuthority / 100 + longestHold();
+    const Time latest = m_startedAt + m_timing.longestAuthority + m_timing.longestAuthority / 100
+        + longestHold(longestInheritedLease());
     const Time bound = m_unsettled.empty() ? std::min(m_inheritedUntil, latest) : latest;
     for (Entry &entry : m_entries) {
         if (entry.isInherited)
@@ -358,8 +365,9 @@
     m_startedAt = m_now;
     m_acks.clear();
     m_unsettled = m_written.predecessors;
-    m_inheritedUntil = m_now + longestHold();
-    const Time latest = m_now + m_timing.longestAuthority + m_timing.longestAuthority / 100 + longestHold();
+    m_inheritedUntil = m_now + longestHold(longestInheritedLease());
+    const Time latest
+        = m_now + m_timing.longestAuthority + m_timing.longestAuthority / 100 + longestHold(longestInheritedLease());
     m_entries.clear();
     for (const OwnedRange &owned : m_written.ranges) {
         Entry entry;
@@ -430,7 +438,7 @@
     });
     if (m_unsettled.size() == before)
         return;
-    m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold());
+    m_inheritedUntil = std::max(m_inheritedUntil, m_now + longestHold(longestInheritedLease()));
     for (Entry &entry : m_entries) {
         if (entry.isInherited && m_unsettled.empty())
             entry.mayHoldUntil = m_inheritedUntil;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -29,10 +29,23 @@
 
 } // namespace
 
-Duration RangeControl::longestHold() const noexcept
+Duration RangeControl::longestHold(Duration lease) const noexcept
 {
-    return m_timing.orderTimeout + std::chrono::duration_cast<Duration>(m_timing.lease * m_timing.clockSlack)
-        + orderMargin;
+    return m_timing.orderTimeout + std::chrono::duration_cast<Duration>(lease * m_timing.clockSlack) + orderMargin;
+}
+
+Duration RangeControl::leaseForTargets() const noexcept
+{
+    const auto wanted = m_timing.leasePerTarget * static_cast<Duration::rep>(m_targets.size());
+    return std::clamp(wanted, m_timing.leaseMin, m_timing.leaseMax);
+}
+
+Duration RangeControl::longestInheritedLease() const noexcept
+{
+    Duration longest = m_timing.leaseMin;
+    for (const PastController &past : m_written.predecessors)
+        longest = std::max(longest, past.lease);
+    return longest;
 }
 
 const RegisteredTarget *RangeControl::findTarget(const std::string &id) const
@@ -150,11 +163,11 @@
     m_orders[id] = {false, entry.owned.owner, entry.owned.range, entry.owned.fence, entry.mayHoldUntil};
     entry.lastOrder = m_now;
     entry.nextOrder = m_now + m_timing.secondOrder;
-    entry.mayHoldUntil = std::max(entry.mayHoldUntil, m_now + longestHold());
+    entry.mayHoldUntil = std::max(entry.mayHoldUntil, m_now + longestHold(m_written.lease));
     if (entry.unansweredSince == 0ms)
         entry.unansweredSince = m_now;
     m_effects.emplace_back(RangeOrder{id, false, entry.owned.owner.id, address, entry.owned.range, entry.owned.fence,
-                                      m_timing.lease, m_timing.orderTimeout, entry.handover});
+                                      m_written.lease, m_timing.orderTimeout, entry.handover});
 }
 
 void RangeControl::startRelease(Entry &entry, const std::string &destination)
@@ -229,9 +242,9 @@
         entry.handover.clear();
         entry.unansweredSince = 0ms;
         entry.refusedConnections = 0;
-        entry.nextOrder = m_now + m_timing.renewEvery;
+        entry.nextOrder = m_now + m_written.lease / m_timing.renewalsPerLease;
         if (!hasOpenGrant(entry))
-            entry.mayHoldUntil = m_now + longestHold() - m_timing.orderTimeout;
+            entry.mayHoldUntil = m_now + longestHold(m_written.lease) - m_timing.orderTimeout;
         m_avoidUntil.erase(entry.owned.owner.id);
     } else if (end == OrderEndKind::HigherFence) {
         if (order.fence != entry.owned.fence)
--- a/packages/core/src/targetscore.cpp
+++ b/packages/core/src/targetscore.cpp
@@ -30,6 +30,7 @@
     }
     if (sign == TargetSign::Served) {
         m_unanswered = 0;
+        m_hasServed = true;
         m_nextEjection = 0ms;
         m_ejectedUntil = 0ms;
         m_latency = m_latency == 0ms ? taken
--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -261,3 +261,32 @@
     for (const RangeMove &move : moves)
         CHECK_FALSE(move.range.contains(11));
 }
+
+TEST_CASE("A change of the owners, applied to the announcement before, gives the one after")
+{
+    const auto owners = [](std::uint64_t sequence, const std::vector<RoutedRange> &ranges) {
+        return RangeOwners{"service", 3, sequence, ranges};
+    };
+    const RangeOwners before = owners(7, {{{0, 99}, "a", RangeState::Held}, {{100, lastKey}, "b", RangeState::Held}});
+    const auto ranges = GENERATE(values<std::vector<RoutedRange>>({
+        {{{0, 99}, "a", RangeState::Held}, {{100, lastKey}, "b", RangeState::Held}},
+        {{{0, 49}, "a", RangeState::Held},
+         {{50, 199}, "", RangeState::Moving},
+         {{200, lastKey}, "b", RangeState::Held}},
+        {{{0, lastKey}, "c", RangeState::Held}},
+        {{{0, 99}, "a", RangeState::Away},
+         {{100, 500}, "b", RangeState::Held},
+         {{501, lastKey}, "a", RangeState::Held}},
+    }));
+    const RangeOwners after = owners(8, ranges);
+    const auto applied = applyChange(before, changeBetween(before, after));
+    REQUIRE(applied.has_value());
+    CHECK(applied->isNewerThan(before));
+    for (std::uint32_t key = 0; key <= lastKey; ++key) {
+        const RoutedRange *got = applied->find(key);
+        const RoutedRange *wanted = after.find(key);
+        if (got == nullptr || got->owner != wanted->owner || got->state != wanted->state)
+            FAIL("key " << key);
+    }
+    CHECK_FALSE(applyChange(owners(6, before.ranges), changeBetween(before, after)).has_value());
+}
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -46,6 +46,8 @@
     }
 
     void start() { list({}); }
+    /// Wait after changes, from the next ones on.
+    void setPause(core::Duration pause) noexcept { m_timing.pause = pause; }
 
     /// Tries again at once if the last call failed: the store is known to answer.
     void retryNow()
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -24,6 +24,11 @@
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
+/// Wait of a watch after changes, for each daemon: the calls that a series of changes costs the store stay the same
+/// whatever the size of the fleet. The longest is a quarter of the users' shortest bound.
+constexpr std::chrono::milliseconds pausePerDaemon(9);
+constexpr std::chrono::milliseconds longestPause(500);
+
 FeedTiming configTiming()
 {
     FeedTiming timing;
@@ -190,6 +195,10 @@
     for (const auto &[id, peer] : m_peers)
         peers.push_back(peer);
     m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
+    const auto pause
+        = std::clamp<core::Duration>(pausePerDaemon * (peers.size() + 1), FeedTiming().pause, longestPause);
+    m_configs.setPause(pause);
+    m_targetFeed.setPause(pause);
     for (const auto &[name, service] : m_services)
         run(name, core::ControlPeers{peers});
 }
@@ -355,7 +364,12 @@
 
 void GatewayControl::act(const std::string &, const core::AnnounceOwners &effect)
 {
-    sendToAll(effect.owners);
+    const core::RangeOwners &before = serviceOf(effect.owners.service).owners;
+    // Who missed the announcement before asks for the whole.
+    if (before.term == effect.owners.term && before.sequence + 1 == effect.owners.sequence)
+        sendToAll(core::changeBetween(before, effect.owners));
+    else
+        sendToAll(effect.owners);
     takeOwners(effect.owners, m_self.id);
 }
 
@@ -454,6 +468,15 @@
     takeOwners(message, from);
 }
 
+void GatewayControl::heard(const std::string &from, const core::RangeOwnersChange &message)
+{
+    const core::RangeOwners &known = serviceOf(message.service).owners;
+    if (auto owners = core::applyChange(known, message))
+        takeOwners(*owners, from);
+    else if (core::RangeOwners{message.service, message.term, message.sequence, {}}.isNewerThan(known))
+        send(from, protocol::OwnersWanted{message.service});
+}
+
 void GatewayControl::heard(const std::string &from, const core::ControlBeat &message)
 {
     run(message.service, message);
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -82,6 +82,7 @@
     void receive();
     void received(std::size_t bytes);
     void heard(const std::string &from, const core::RangeOwners &message);
+    void heard(const std::string &from, const core::RangeOwnersChange &message);
     void heard(const std::string &from, const core::ControlBeat &message);
     void heard(const std::string &from, const core::ControlAck &message);
     void heard(const std::string &from, const core::ControlResigned &message);
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -376,7 +376,7 @@
     for (const std::string &service : m_shardedServices) {
         auto load = m_router.takeKeyLoad(service);
         if (!load.empty())
-            m_tellControl(ServiceKeyLoad{service, {std::move(load), m_router.latencies(service)}});
+            m_tellControl(ServiceKeyLoad{service, {std::move(load), m_router.takeLatencies(service)}});
     }
 }
 
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -15,6 +15,21 @@
   5: list<OwnedPart> parts,
 }
 
+struct ChangedPart {
+  1: i32 first,
+  2: i32 last,
+  3: string owner,
+  4: i8 state,
+}
+
+struct OwnersChange {
+  1: string group,
+  2: i64 term,
+  3: i64 base,
+  4: i64 sequence,
+  5: list<ChangedPart> parts,
+}
+
 struct Beat {
   1: string group,
   2: i64 term,
@@ -78,4 +93,5 @@
   8: optional Refused refused,
   9: optional Hello hello,
   10: optional Ack ack,
+  11: optional OwnersChange ownersChange,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -46,8 +46,8 @@
     bool operator==(const Hello &) const = default;
 };
 
-using GatewayMessage = std::variant<core::RangeOwners, core::ControlBeat, core::ControlAck, core::ControlResigned,
-                                    OwnersWanted, LoadMessage, RefusedMessage, Hello>;
+using GatewayMessage = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControlBeat, core::ControlAck,
+                                    core::ControlResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello>;
 
 /// A message and who sent it. The `from` fields of beats and resignations are the sender's id.
 struct GatewayDatagram
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -47,6 +47,25 @@
         out.__set_owners(owners);
     }
 
+    void operator()(const core::RangeOwnersChange &message) const
+    {
+        gatewaywire::OwnersChange change;
+        change.__set_group(message.service);
+        change.__set_term(toWire(message.term));
+        change.__set_base(toWire(message.base));
+        change.__set_sequence(toWire(message.sequence));
+        for (const core::RoutedRange &range : message.ranges) {
+            gatewaywire::ChangedPart part;
+            part.__set_first(static_cast<std::int32_t>(range.range.first));
+            part.__set_last(static_cast<std::int32_t>(range.range.last));
+            part.__set_owner(range.owner);
+            part.__set_state(static_cast<std::int8_t>(range.state));
+            change.parts.push_back(part);
+        }
+        change.__isset.parts = true;
+        out.__set_ownersChange(change);
+    }
+
     void operator()(const core::ControlBeat &message) const
     {
         gatewaywire::Beat beat;
@@ -147,6 +166,23 @@
     return owners;
 }
 
+std::optional<GatewayMessage> readChange(const gatewaywire::OwnersChange &in)
+{
+    core::RangeOwnersChange change{in.group, fromWire(in.term), fromWire(in.base), fromWire(in.sequence), {}};
+    std::int32_t next = 0;
+    for (const gatewaywire::ChangedPart &part : in.parts) {
+        const bool isValid = part.first >= next && isKey(part.last) && part.last >= part.first && part.state >= 0
+            && part.state <= static_cast<std::int8_t>(core::RangeState::Away);
+        if (!isValid)
+            return std::nullopt;
+        change.ranges.push_back({{static_cast<std::uint32_t>(part.first), static_cast<std::uint32_t>(part.last)},
+                                 part.owner,
+                                 static_cast<core::RangeState>(part.state)});
+        next = part.last + 1;
+    }
+    return change;
+}
+
 std::optional<GatewayMessage> readLoad(const gatewaywire::Load &in)
 {
     LoadMessage load{in.group, {}, {}};
@@ -164,7 +200,7 @@
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
-        + isset.hello + isset.ack;
+        + isset.hello + isset.ack + isset.ownersChange;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -178,6 +214,8 @@
                                  in.beat.isLeaving,
                                  core::Time(in.beat.sentAt),
                                  in.beat.wantsAck};
+    if (isset.ownersChange)
+        return readChange(in.ownersChange);
     if (isset.ack)
         return core::ControlAck{
             in.ack.group, {in.sender, fromWire(in.incarnation)}, fromWire(in.ack.term), core::Time(in.ack.sentAt)};
--- /dev/null
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -0,0 +1,61 @@
+#include <sardinehinge/protocol/gatewaycodec.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace sardinehinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<protocol::GatewayMessage> &messages()
+{
+    static const std::vector<protocol::GatewayMessage> all = {
+        core::RangeOwners{
+            "s", 3, 9, {{{0, 99}, "a", core::RangeState::Held}, {{100, core::lastKey}, "", core::RangeState::Moving}}},
+        core::RangeOwnersChange{
+            "s", 3, 8, 9, {{{5, 6}, "a", core::RangeState::Away}, {{70, 80}, "b", core::RangeState::Held}}},
+        core::ControlBeat{"s", "sender", 3, 9, 1500ms, true, core::Time(123456789), true},
+        core::ControlAck{"s", {"sender", 42}, 3, core::Time(123456789)},
+        core::ControlResigned{"s", "sender", 2},
+        protocol::OwnersWanted{"s"},
+        protocol::LoadMessage{"s", {{1, 2}, {65535, 7}}, {{"a", 1500us}}},
+        protocol::RefusedMessage{"s", "a", 65535},
+        protocol::Hello{"10.0.0.1:7620", true},
+    };
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("Every gateway message survives encoding")
+{
+    for (const protocol::GatewayMessage &message : messages()) {
+        INFO("message " << message.index());
+        const protocol::GatewayDatagram datagram{{"sender", 42}, message};
+        const auto decoded = protocol::decodeGateway(protocol::encode(datagram));
+        REQUIRE(core::errorIn(decoded) == nullptr);
+        CHECK((std::get<protocol::GatewayDatagram>(decoded) == datagram));
+    }
+}
+
+TEST_CASE("Spoilt gateway datagrams are refused or decode to values in range, and never crash")
+{
+    std::mt19937 random(1);
+    for (int round = 0; round < 5000; ++round) {
+        const auto &message = messages()[random() % messages().size()];
+        std::string bytes = protocol::encode({{"sender", 42}, message});
+        bytes.resize(random() % (bytes.size() + 1));
+        for (int spoilt = 0; spoilt < 3 && !bytes.empty(); ++spoilt)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        const auto decoded = protocol::decodeGateway(bytes);
+        const auto *datagram = std::get_if<protocol::GatewayDatagram>(&decoded);
+        if (datagram == nullptr)
+            continue;
+        if (const auto *owners = std::get_if<core::RangeOwners>(&datagram->message)) {
+            for (const core::RoutedRange &range : owners->ranges)
+                CHECK(range.range.first <= range.range.last);
+        }
+    }
+}
