Wait for targets before the first assignment, and wake every watch when the store is back

Change: the first assignment waits until no target has joined for 1 s; owners with an open order are relieved too; the first watch that succeeds ends the other's call; calls wait 2.5 s.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -44,6 +44,8 @@
     Duration writeTimeout = std::chrono::milliseconds(2500); ///< Then a write is read back; the slowest answers that
                                                              ///< the users list take 240 ms.
     Duration avoidTime = std::chrono::seconds(3); ///< A lost target gets no ranges for this long.
+    Duration firstWait = std::chrono::milliseconds(1000); ///< The first assignment waits until no target has joined for
+                                                          ///< so long: at a first start they register by turns.
     Duration planEvery = std::chrono::milliseconds(500);
     double loadMemory = 0.75; ///< Part of the key load that is kept from one planning period to the next.
 
@@ -375,6 +377,7 @@
     Time m_nextClaim = 0ms;
     std::vector<PeerDaemon> m_peers;
     std::map<std::string, RegisteredTarget> m_targets;
+    Time m_targetsChangedAt = 0ms; ///< When a target last joined.
     std::map<std::string, std::string> m_addresses; ///< Last known, of targets that have left too.
     std::map<std::string, Time> m_avoidUntil; ///< Targets that just didn't answer: they get no new ranges until then.
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -71,6 +71,8 @@
 
 void RangeControl::on(const ControlTargets &event)
 {
+    if (event.targets.size() > m_targets.size())
+        m_targetsChangedAt = m_now;
     m_targets.clear();
     for (const RegisteredTarget &target : event.targets) {
         m_targets[target.life.id] = target;
@@ -394,7 +396,7 @@
         return;
     if (m_entries.empty()) {
         auto ready = readyTargets();
-        if (ready.empty())
+        if (ready.empty() || m_now - m_targetsChangedAt < m_timing.firstWait)
             return;
         std::sort(ready.begin(), ready.end(), [](const RegisteredTarget &left, const RegisteredTarget &right) {
             return std::tie(left.failureDomain, left.life.id) < std::tie(right.failureDomain, right.life.id);
@@ -465,8 +467,9 @@
     if (isStoreNear && moving < mostMoving) {
         std::vector<RoutedRange> ranges;
         for (const Entry &entry : m_entries) {
-            const bool isHeld = entry.phase == Phase::Held && entry.unansweredSince == 0ms;
-            ranges.push_back({entry.owned.range, entry.owned.owner.id, isHeld ? RangeState::Held : RangeState::Moving});
+            // A busy target answers orders late, and is the one to relieve.
+            const RangeState state = entry.phase == Phase::Held ? RangeState::Held : RangeState::Moving;
+            ranges.push_back({entry.owned.range, entry.owned.owner.id, state});
         }
         for (const RangeMove &move : planRangeMoves(ranges, candidates(), m_load)) {
             split(move.range);
--- a/packages/core/tests/rangecontrol_test.cpp
+++ b/packages/core/tests/rangecontrol_test.cpp
@@ -84,3 +84,25 @@
         }
     }
 }
+
+TEST_CASE("A busy owner that answers orders late is relieved of keys")
+{
+    RangeWorld world(1, {});
+    world.run(5s, true);
+    const std::string busy = world.holders().front();
+    world.slowAnswers(busy, 550ms);
+    std::map<std::uint32_t, std::uint32_t> requests;
+    for (std::uint32_t key = 0; key < 10000; key += 100)
+        requests[key] = 3;
+    const auto held = [&] {
+        const auto holders = world.holders();
+        return std::count(holders.begin(), holders.end(), busy);
+    };
+    const auto before = held();
+    for (int round = 0; round < 20; ++round) {
+        world.reportLoad(requests);
+        world.run(500ms, true);
+    }
+    CHECK(world.violations().empty());
+    CHECK(held() < before / 2);
+}
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -117,6 +117,12 @@
     publishTargets();
 }
 
+void RangeWorld::reportLoad(const std::map<std::uint32_t, std::uint32_t> &requests)
+{
+    const std::size_t index = controllerIndex();
+    deliver(index, m_daemons[index].identity.incarnation, KeyLoadReport{requests, {}});
+}
+
 void RangeWorld::killDaemon(std::size_t index)
 {
     note(m_daemons[index].identity.id + " is killed");
@@ -292,7 +298,7 @@
             const bool isTaken = applyOrder(target, effect, arrived);
             if (!isLost)
                 end(isTaken ? OrderEndKind::Accepted : OrderEndKind::HigherFence,
-                    effect.isRelease ? delay(1, 300) : delay(1, 8));
+                    m_targets.at(effect.target).answerDelay + (effect.isRelease ? delay(1, 300) : delay(1, 8)));
         };
         if (isLate)
             at(delay(2000, 12000), apply);
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -50,6 +50,10 @@
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     void crashTarget(const std::string &id, bool isSilent);
     void drainTarget(const std::string &id);
+    /// The target answers orders only after `delay`; they take effect as they arrive.
+    void slowAnswers(const std::string &id, Duration delay) { m_targets.at(id).answerDelay = delay; }
+    /// Requests by key, as the daemons report them to the controller.
+    void reportLoad(const std::map<std::uint32_t, std::uint32_t> &requests);
     void addTarget(const std::string &id);
     std::size_t controllerIndex() const;
     std::vector<std::string> holders() const;
@@ -71,6 +75,7 @@
         bool isUp = true;
         bool isSilent = false; ///< Up, but nothing reaches it.
         bool isRegistered = true;
+        Duration answerDelay = 0ms;
         double clockRate = 1; ///< Of its lease clock; below 1 it is slow.
         std::vector<Hold> holds;
         std::map<std::uint32_t, std::uint64_t> highest; ///< Highest fence seen, by sampled key.
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -14,7 +14,8 @@
 /// Periods of a watch on the platform's store.
 struct FeedTiming
 {
-    core::Duration wait = std::chrono::seconds(4); ///< One waiting call; its lack of an answer shows a silent store.
+    core::Duration wait = std::chrono::milliseconds(2500); ///< One waiting call; its lack of an answer shows a silent
+                                                           ///< store, soon enough for the bound of 3 s after an outage.
     core::Duration pause = std::chrono::milliseconds(100); ///< After changes: those that follow closely cost one call.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
     core::Duration retryMax
@@ -49,11 +50,12 @@
     /// Wait after changes, from the next ones on.
     void setPause(core::Duration pause) noexcept { m_timing.pause = pause; }
 
-    /// Tries again at once if the last call failed: the store is known to answer.
+    /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
     void retryNow()
     {
-        if (m_isRetrying)
-            retry();
+        m_timer.cancel();
+        ++m_round;
+        m_isListed ? watch() : list({});
     }
 
 private:
@@ -63,7 +65,9 @@
     {
         if (after.empty())
             m_names.clear();
-        m_feed.list(after, [this](const Page &page) {
+        m_feed.list(after, [this, round = m_round](const Page &page) {
+            if (round != m_round)
+                return;
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
@@ -79,7 +83,9 @@
 
     void watch()
     {
-        m_feed.watch(m_revision, m_timing.wait, [this](const Page &page) {
+        m_feed.watch(m_revision, m_timing.wait, [this, round = m_round](const Page &page) {
+            if (round != m_round)
+                return;
             if (page.outcome == edges::StoreOutcome::HistoryGone) {
                 m_isListed = false;
                 return list({});
@@ -115,15 +121,7 @@
     {
         m_handlers.reached(false, page.detail);
         m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
-        m_isRetrying = true;
-        after(m_retry, [this] { retry(); });
-    }
-
-    void retry()
-    {
-        m_isRetrying = false;
-        m_timer.cancel();
-        m_isListed ? watch() : list({});
+        after(m_retry, [this] { m_isListed ? watch() : list({}); });
     }
 
     void after(core::Duration wait, std::function<void()> action)
@@ -142,7 +140,7 @@
     std::vector<std::string> m_names;
     std::uint64_t m_revision = 0;
     bool m_isListed = false;
-    bool m_isRetrying = false;
+    std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are dropped.
     core::Duration m_retry = core::Duration(0);
 };
 
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -64,7 +64,10 @@
     , m_metricsServer(m_worker.context(), *this)
     , m_configs(m_worker.context(), m_platform->configs(),
                 {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
-                 [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }},
+                 [this](bool isReachable, const std::string &detail) {
+                     if (reached(isReachable, detail))
+                         m_targetFeed.retryNow();
+                 }},
                 configTiming())
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
@@ -73,7 +76,10 @@
                         m_hasTargets = true;
                         publishTargets();
                     },
-                    [this](bool isReachable, const std::string &detail) { reached(isReachable, detail); }})
+                    [this](bool isReachable, const std::string &detail) {
+                        if (reached(isReachable, detail))
+                            m_configs.retryNow();
+                    }})
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
         m_reports.drain(
@@ -242,7 +248,8 @@
         publishTargets();
 }
 
-void GatewayControl::reached(bool isReachable, const std::string &detail)
+/// Takes in the end of a watch's call; true when the store is back after an outage, which the other watch should know.
+bool GatewayControl::reached(bool isReachable, const std::string &detail)
 {
     m_metrics.storeWatches.Increment();
     if (isReachable)
@@ -250,14 +257,11 @@
     else
         m_registry.storeLost();
     if (isReachable == m_isReachable)
-        return;
+        return false;
     m_isReachable = isReachable;
-    if (isReachable) {
-        m_configs.retryNow();
-        m_targetFeed.retryNow();
-    }
     m_events.record(isReachable ? Severity::Info : Severity::Warning,
                     isReachable ? core::events::platformBack : core::events::platformLost, "detail=\"" + detail + "\"");
+    return isReachable;
 }
 
 void GatewayControl::publishTargets()
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -60,7 +60,7 @@
     void watchPeers();
     void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
-    void reached(bool isReachable, const std::string &detail);
+    bool reached(bool isReachable, const std::string &detail);
     void publishTargets();
     void addPeer(const core::PeerDaemon &peer);
     void publishPeers();
