Refuse requests at once for an owner that refuses all its keys

The callers waited 2.5 s for their refusals.

Ruled out: the retry budget itself, which counted these repeats at the keyed service and kept to it.

Change: after three refusals in a row a target gets one try every 100 ms; requests for its keys end at once, not run, with a time to come back. The test failed before (800 sends of 200 requests are now under 30).

--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -161,6 +161,8 @@
         return {nullptr, GatewayFault::NoOwner, true};
     if (target->second.score.isEjected(now) && target->second.score.inFlight() != 0)
         return {nullptr, GatewayFault::NoOwner, false};
+    if (isDisowned(target->second) && now < target->second.nextTry)
+        return {nullptr, GatewayFault::NoOwner, false};
     if (!target->second.score.hasRoom())
         return {nullptr, GatewayFault::Overloaded, true};
     return {&target->second, GatewayFault::NoOwner, false};
@@ -278,6 +280,7 @@
     request.isSent = true;
     ++request.attempts;
     target.score.started();
+    target.nextTry = now + m_limits.disownedPause;
     m_effects.emplace_back(SendToTarget{request.head.id, request.attempts, target.entry.life, request.service,
                                         target.entry.address, request.deadline - now, request.route->isIdempotent});
 }
@@ -315,9 +318,12 @@
     }
     if (target == service.targets.end())
         return;
-    if (end.end == AttemptEnd::NotOwner && isSharded(request.service))
+    if (end.end == AttemptEnd::NotOwner && isSharded(request.service)) {
         target->second.score.dropped();
-    else
+        ++target->second.keyRefusals;
+        return;
+    }
+    target->second.keyRefusals = 0;
         target->second.score.finished(signOf(end.end, end.isServerError), taken, request.route->aim, routeNorm, now);
 }
 
@@ -330,9 +336,13 @@
         return false;
     if (request.attempts >= request.route->maxAttempts && end != AttemptEnd::NotOwner && end != AttemptEnd::NothingSent)
         return false;
-    // A full owner stays full: nobody else may run the request.
-    if (isSharded(request.service) && end == AttemptEnd::Shed)
-        return false;
+    if (isSharded(request.service)) {
+        // A full owner stays full, and one that refuses all keys is no owner: nobody else may run the request.
+        const auto &targets = serviceOf(request.service).targets;
+        const auto owner = targets.find(request.target);
+        if (end == AttemptEnd::Shed || (owner != targets.end() && isDisowned(owner->second)))
+            return false;
+    }
     constexpr std::uint32_t mostSends = 4;
     if (request.attempts >= mostSends || request.deadline - now < request.route->aim / 8)
         return false;
--- a/packages/core/tests/gatewayrouter_test.cpp
+++ b/packages/core/tests/gatewayrouter_test.cpp
@@ -382,3 +382,32 @@
             CHECK((endings[id] == 1 || (endings[id] == 0 && left.contains(id))));
     }
 }
+
+TEST_CASE("An owner that refuses all its keys is tried now and then, and requests for them end at once")
+{
+    Bench bench;
+    std::size_t finished = 0;
+    const auto play = [&bench, &finished](int requests, AttemptEnd end) {
+        for (int round = 0; round < requests; ++round) {
+            bench.arrive("/key/x", 5);
+            for (; finished < bench.sends.size(); ++finished)
+                bench.finish(bench.sends[finished], end);
+            bench.now += 10ms;
+            bench.take(bench.router.tick(bench.now));
+        }
+    };
+    play(200, AttemptEnd::NotOwner); // 2 s
+    CHECK(bench.sends.size() < 30);
+    CHECK(bench.router.activeRequests() == 0);
+    REQUIRE(bench.ends.size() == 200);
+    for (const EndRequest &end : bench.ends) {
+        CHECK_FALSE(end.mayHaveRun);
+        CHECK(end.retryAfter > 0ms);
+    }
+    // From the first answer on, its requests are sent at once again.
+    bench.now += 100ms;
+    const std::size_t before = bench.sends.size();
+    play(20, AttemptEnd::Answered);
+    CHECK(bench.sends.size() - before == 20);
+    CHECK(bench.answers.size() == 20);
+}
