Let two daemons watch the store for all others

At 11,000 daemons that is 8,800 calls a second, over the store's rates (docs/CAPACITY.md).

Ruled out: longer waits (a watch that has gone silent is only seen by its missing answer, and the bound is 2 s); carrying the objects themselves by datagrams (the smaller part of the calls, and a second copy of what the store says).

Change: WatchRoster, pure: two daemons watch and tell the store revision of the last change; others call only for news. A daemon that no recent notice covers watches by itself at once, so the bound of 2 s doesn't depend on the watchers: tested with both of them killed or cut off in the instant before a change, with lost datagrams, at 1 to 300 daemons.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -61,5 +61,6 @@
 constexpr std::uint32_t ownersAnnounced = 619;
 constexpr std::uint32_t gatewayRequestEnded = 620;
 constexpr std::uint32_t peerJoined = 622;
+constexpr std::uint32_t watchModeChanged = 623;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -114,9 +114,10 @@
     Duration ownerWait = std::chrono::milliseconds(500); ///< For keys on the move: the rest of the work on them.
     Duration refusedOwnerWait = std::chrono::milliseconds(60); ///< Before a key's refused owner is tried again: the
                                                                ///< time in which an announcement or a grant arrives.
-    std::uint32_t disownedAfter = 3; ///< Refusals in a row of keys that a target should own: then it is no owner, such as
-                                     ///< one at whose address another service's target runs now.
-    Duration disownedPause = std::chrono::milliseconds(100); ///< Between two tries of such a target: a grant takes less.
+    std::uint32_t disownedAfter = 3; ///< Refusals in a row of keys that a target should own: then it is no owner, such
+                                     ///< as one at whose address another service's target runs now.
+    Duration disownedPause
+        = std::chrono::milliseconds(100); ///< Between two tries of such a target: a grant takes less.
     Duration timeoutGrace = std::chrono::milliseconds(80); ///< A target's own last word may take this long to come.
     Duration awayRetry = std::chrono::milliseconds(700); ///< Told to callers of lost keys: about half a lease.
     std::size_t waiting = 2000; ///< Most requests that wait at once.
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -324,7 +324,7 @@
         return;
     }
     target->second.keyRefusals = 0;
-        target->second.score.finished(signOf(end.end, end.isServerError), taken, request.route->aim, routeNorm, now);
+    target->second.score.finished(signOf(end.end, end.isServerError), taken, request.route->aim, routeNorm, now);
 }
 
 bool GatewayRouter::mayRepeat(Request &request, AttemptEnd end, bool isServerError, Time now)
--- /dev/null
+++ b/packages/core/src/watchroster.cpp
@@ -0,0 +1,104 @@
+#include <sardinehinge/core/watchroster.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinehinge::core {
+
+namespace {
+
+/// FNV-1a.
+std::uint64_t rankOf(const std::string &daemon) noexcept
+{
+    std::uint64_t hash = 0xcbf29ce484222325;
+    for (const char c : daemon) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= 0x100000001b3;
+    }
+    // The low bits of short, similar names differ most.
+    return (hash << 32) | (hash >> 32);
+}
+
+} // namespace
+
+WatchRoster::WatchRoster(std::string self, Time now, RosterTiming timing)
+    : m_self(std::move(self))
+    , m_timing(timing)
+    , m_rank(rankOf(m_self))
+    , m_nextNotice(now)
+{
+}
+
+void WatchRoster::heard(const WatchNotice &notice, Time now)
+{
+    if (notice.from == m_self || notice.age < Duration(0))
+        return;
+    const auto [found, isNew] = m_watchers.try_emplace(notice.from, now - notice.age);
+    if (!isNew)
+        found->second = std::max(found->second, now - notice.age);
+}
+
+void WatchRoster::dropStale(Time now)
+{
+    std::erase_if(m_watchers, [this, now](const auto &watcher) { return !isFresh(watcher.second, now); });
+}
+
+/// A daemon's turn to replace a missing watcher comes by its rank.
+bool WatchRoster::isClaimDue(Time now) const noexcept
+{
+    constexpr std::uint64_t parts = 1000;
+    const auto turn
+        = m_timing.claimSpread * static_cast<Duration::rep>((m_rank >> 32) % parts) / static_cast<Duration::rep>(parts);
+    return m_scarceSince && now - *m_scarceSince >= m_timing.claimDelay + turn;
+}
+
+WatchRoster::Mode WatchRoster::tick(Time now)
+{
+    dropStale(now);
+    const bool isSelfFresh = isFresh(answeredAt(), now);
+    const std::size_t others = m_watchers.size();
+    const auto lower = static_cast<std::size_t>(std::count_if(
+        m_watchers.begin(), m_watchers.end(), [this](const auto &watcher) { return rankOf(watcher.first) < m_rank; }));
+    if (others >= m_timing.watchers)
+        m_scarceSince.reset();
+    else if (!m_scarceSince)
+        m_scarceSince = now;
+    if (m_mode != Mode::Watching || lower < m_timing.watchers)
+        m_surplusSince.reset();
+    else if (!m_surplusSince)
+        m_surplusSince = now;
+
+    switch (m_mode) {
+    case Mode::Watching:
+        if (!isSelfFresh)
+            m_mode = Mode::Alone;
+        else if (m_surplusSince && now - *m_surplusSince >= m_timing.stepDownAfter)
+            m_mode = Mode::Following;
+        break;
+    case Mode::Alone:
+    case Mode::Following:
+        if (isClaimDue(now) && isSelfFresh)
+            m_mode = Mode::Watching;
+        else if (isClaimDue(now) || others == 0)
+            m_mode = Mode::Alone; // A follower finds out first whether the store answers it.
+        else
+            m_mode = Mode::Following;
+        break;
+    }
+    return m_mode;
+}
+
+std::optional<WatchNotice> WatchRoster::takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now)
+{
+    if (m_mode != Mode::Watching || !isFresh(answeredAt(), now))
+        return std::nullopt;
+    const bool isNews = configs.changedAt != m_toldConfigs.changedAt || targets.changedAt != m_toldTargets.changedAt;
+    if (!isNews && now < m_nextNotice)
+        return std::nullopt;
+    m_nextNotice = now + m_timing.noticeEvery;
+    m_toldConfigs = configs;
+    m_toldTargets = targets;
+    return WatchNotice{m_self, configs, targets, now - answeredAt()};
+}
+
+} // namespace sardinehinge::core
--- /dev/null
+++ b/packages/core/tests/watchroster_test.cpp
@@ -0,0 +1,181 @@
+#include <sardinehinge/core/watchroster.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace sardinehinge::core;
+
+namespace {
+
+/// A store whose revision rises, and daemons that watch it or follow those that do, in virtual time.
+class WatchFleet
+{
+public:
+    struct Daemon
+    {
+        WatchRoster roster;
+        FeedPosition position; ///< Of both kinds.
+        bool isUp = true;
+        bool isCutFromStore = false;
+        Time answerDue = 0ms; ///< Of the watch under way.
+    };
+
+    WatchFleet(std::size_t count, double loss)
+        : m_loss(loss)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            daemons.push_back({WatchRoster("front-zone-" + std::to_string(index), now), {}});
+    }
+
+    void run(Duration span)
+    {
+        const Time end = now + span;
+        for (; now < end; now += step) {
+            for (Daemon &daemon : daemons)
+                stepOne(daemon);
+        }
+    }
+
+    void change()
+    {
+        revision += 3;
+        changedAt = revision;
+    }
+
+    std::size_t count(WatchRoster::Mode mode) const
+    {
+        return static_cast<std::size_t>(std::count_if(daemons.begin(), daemons.end(), [mode](const Daemon &daemon) {
+            return daemon.isUp && daemon.roster.mode() == mode;
+        }));
+    }
+
+    /// Daemons that are up and reach the store, but don't have its latest change.
+    std::size_t behind() const
+    {
+        return static_cast<std::size_t>(std::count_if(daemons.begin(), daemons.end(), [this](const Daemon &daemon) {
+            return daemon.isUp && !daemon.isCutFromStore && daemon.position.completeTo < changedAt;
+        }));
+    }
+
+    std::vector<Daemon> daemons;
+    Time now = 100s;
+    std::uint64_t revision = 10;
+    std::uint64_t changedAt = 10;
+    std::size_t calls = 0;
+
+private:
+    void answered(Daemon &daemon)
+    {
+        daemon.position = {changedAt, revision};
+        daemon.roster.configsAnswered(now);
+        daemon.roster.targetsAnswered(now);
+    }
+
+    void stepOne(Daemon &daemon)
+    {
+        if (!daemon.isUp)
+            return;
+        const auto mode = daemon.roster.tick(now);
+        const bool isNews = daemon.position.completeTo < changedAt;
+        if (mode != WatchRoster::Mode::Following && now >= daemon.answerDue) {
+            ++calls;
+            daemon.answerDue = now + watchWait;
+            if (!daemon.isCutFromStore)
+                answered(daemon);
+        } else if (mode != WatchRoster::Mode::Following && isNews && !daemon.isCutFromStore) {
+            answered(daemon);
+            daemon.answerDue = now + pause;
+        }
+        const auto notice = daemon.roster.takeNotice(daemon.position, daemon.position, now);
+        if (!notice)
+            return;
+        for (Daemon &other : daemons) {
+            if (!other.isUp || &other == &daemon || m_random() % 1000 < m_loss * 1000)
+                continue;
+            other.roster.heard(*notice, now);
+            if (other.roster.mode() == WatchRoster::Mode::Following
+                && other.position.completeTo < notice->configs.changedAt && !other.isCutFromStore) {
+                ++calls;
+                answered(other);
+            }
+        }
+    }
+
+    static constexpr Duration step = std::chrono::milliseconds(50);
+    static constexpr Duration watchWait = std::chrono::milliseconds(1000);
+    static constexpr Duration pause = std::chrono::milliseconds(100);
+
+    double m_loss;
+    std::mt19937 m_random{7};
+};
+
+} // namespace
+
+TEST_CASE("Two daemons watch for all others, and the store's load does not grow with the fleet")
+{
+    const auto size = GENERATE(3UL, 11UL, 75UL, 300UL);
+    WatchFleet fleet(size, 0);
+    fleet.run(10s);
+    CHECK(fleet.count(WatchRoster::Mode::Watching) == 2);
+    CHECK(fleet.count(WatchRoster::Mode::Alone) == 0);
+    fleet.calls = 0;
+    fleet.run(20s);
+    // One watch a second by each of two.
+    CHECK(fleet.calls <= 2 * 21);
+}
+
+TEST_CASE("Every daemon that reaches the store learns of each change within the bound")
+{
+    // What happens to the watchers in the instant before the change.
+    enum class Loss { None, OneKilled, AllKilled, AllCutFromStore, OthersCutFromStore };
+    const auto [size, loss, lostDatagrams] = GENERATE(table<std::size_t, Loss, double>({
+        {11, Loss::None, 0},
+        {11, Loss::None, 0.3},
+        {75, Loss::OneKilled, 0.03},
+        {11, Loss::AllKilled, 0},
+        {75, Loss::AllKilled, 0.03},
+        {11, Loss::AllCutFromStore, 0},
+        {75, Loss::AllCutFromStore, 0.03},
+        {75, Loss::OthersCutFromStore, 0},
+        {1, Loss::None, 0},
+    }));
+    constexpr Duration bound = std::chrono::milliseconds(2000);
+    WatchFleet fleet(size, lostDatagrams);
+    fleet.run(10s);
+    for (int round = 0; round < 5; ++round) {
+        bool isFirst = true;
+        for (auto &daemon : fleet.daemons) {
+            const bool isWatcher = daemon.roster.mode() == WatchRoster::Mode::Watching;
+            if (isWatcher && (loss == Loss::AllKilled || (loss == Loss::OneKilled && isFirst)))
+                daemon.isUp = false;
+            daemon.isCutFromStore
+                = isWatcher ? loss == Loss::AllCutFromStore : loss == Loss::OthersCutFromStore && isFirst;
+            isFirst = isFirst && !isWatcher;
+        }
+        fleet.change();
+        fleet.run(bound);
+        CHECK(fleet.behind() == 0);
+        for (auto &daemon : fleet.daemons)
+            daemon.isCutFromStore = false;
+        fleet.run(6s);
+        const auto up = static_cast<std::size_t>(
+            std::count_if(fleet.daemons.begin(), fleet.daemons.end(), [](const auto &daemon) { return daemon.isUp; }));
+        CHECK(fleet.count(WatchRoster::Mode::Watching) == std::min<std::size_t>(up, 2));
+    }
+}
+
+TEST_CASE("A daemon whom nobody covers watches by itself, and one that is turned away doesn't speak for others")
+{
+    WatchFleet fleet(11, 0);
+    fleet.run(10s);
+    for (auto &daemon : fleet.daemons)
+        daemon.isCutFromStore = true;
+    fleet.run(4s);
+    CHECK(fleet.count(WatchRoster::Mode::Alone) == 11);
+    fleet.daemons[4].isCutFromStore = false;
+    fleet.run(4s);
+    CHECK(fleet.daemons[4].roster.mode() == WatchRoster::Mode::Watching);
+    CHECK(fleet.count(WatchRoster::Mode::Watching) == 1);
+}
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/watchroster.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/edges/gatewayedges.h>
 
@@ -7,6 +8,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardinehinge::daemon {
@@ -14,8 +16,9 @@
 /// Periods of a watch on the platform's store.
 struct FeedTiming
 {
-    core::Duration wait = std::chrono::milliseconds(2500); ///< One waiting call; its lack of an answer shows a silent
-                                                           ///< store, soon enough for the bound of 3 s after an outage.
+    core::Duration wait = std::chrono::milliseconds(1000); ///< One waiting call; its answer shows the others that the
+                                                           ///< store is heard, see core::RosterTiming.
+    core::Duration catchUpWait = std::chrono::milliseconds(200); ///< The same of a call for news that others told of.
     core::Duration pause = std::chrono::milliseconds(100); ///< After changes: those that follow closely cost one call.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
     core::Duration retryMax
@@ -23,8 +26,8 @@
                                           ///< was missed is in force 3 s after an outage's end.
 };
 
-/// Keeps up with the objects of one kind: lists them, watches from there on, and lists again when history was lost.
-/// Single-threaded, on the feed's io_context.
+/// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
+/// another daemon told of; lists again when history was lost. Single-threaded, on the feed's io_context.
 template<typename Value>
 class FeedWatcher
 {
@@ -47,15 +50,33 @@
     }
 
     void start() { list({}); }
-    /// Wait after changes, from the next ones on.
-    void setPause(core::Duration pause) noexcept { m_timing.pause = pause; }
+    /// Whether to keep a call waiting at the store all the time.
+    void setWatching(bool isWatching)
+    {
+        m_isWatching = isWatching;
+        if (m_isIdle && isWatching)
+            watch();
+    }
+    /// Wait before calls for news that others told of: what follows closely costs one call.
+    void setNewsPause(core::Duration pause) noexcept { m_newsPause = pause; }
+    /// Another daemon has come so far.
+    void told(const core::FeedPosition &position)
+    {
+        if (!m_isListed)
+            return;
+        if (position.changedAt <= m_position.completeTo)
+            m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
+        else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo && m_isIdle)
+            next(m_newsPause);
+    }
+    const core::FeedPosition &position() const noexcept { return m_position; }
 
     /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
     void retryNow()
     {
         m_timer.cancel();
         ++m_round;
-        m_isListed ? watch() : list({});
+        m_isListed ? next(core::Duration(0)) : list({});
     }
 
 private:
@@ -74,16 +95,30 @@
             take(page);
             if (page.hasMore && !page.entries.empty())
                 return list(page.entries.back().name);
-            m_revision = page.revision;
+            m_position = {page.revision, page.revision};
             m_isListed = true;
             m_handlers.listed(m_names);
-            watch();
+            next(core::Duration(0));
         });
     }
 
+    /// Goes on after an answer: watches, calls for news after `newsPause`, or waits to be told of some.
+    void next(core::Duration newsPause)
+    {
+        m_isIdle = false;
+        if (m_isWatching)
+            watch();
+        else if (m_newsAt > m_position.completeTo)
+            after(newsPause, [this] { watch(); });
+        else
+            m_isIdle = true;
+    }
+
     void watch()
     {
-        m_feed.watch(m_revision, m_timing.wait, [this, round = m_round](const Page &page) {
+        m_isIdle = false;
+        const auto wait = m_isWatching ? m_timing.wait : m_timing.catchUpWait;
+        m_feed.watch(m_position.completeTo, wait, [this, round = m_round](const Page &page) {
             if (round != m_round)
                 return;
             if (page.outcome == edges::StoreOutcome::HistoryGone) {
@@ -94,10 +129,11 @@
                 return fail(page);
             succeed();
             take(page);
-            m_revision = page.revision;
+            m_position.completeTo = std::max(m_position.completeTo, page.revision);
             if (page.entries.empty())
-                return watch();
-            after(m_timing.pause, [this] { watch(); });
+                return next(m_newsPause);
+            m_position.changedAt = m_position.completeTo;
+            after(m_timing.pause, [this] { next(m_newsPause); });
         });
     }
 
@@ -138,7 +174,11 @@
     FeedTiming m_timing;
     boost::asio::steady_timer m_timer;
     std::vector<std::string> m_names;
-    std::uint64_t m_revision = 0;
+    core::FeedPosition m_position;
+    std::uint64_t m_newsAt = 0; ///< Others know of a change there.
+    core::Duration m_newsPause = core::Duration(0);
+    bool m_isWatching = true;
+    bool m_isIdle = false; ///< No call is under way, and none is due.
     bool m_isListed = false;
     std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are dropped.
     core::Duration m_retry = core::Duration(0);
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -24,11 +24,24 @@
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
-/// Wait of a watch after changes, for each daemon: the calls that a series of changes costs the store stay the same
-/// whatever the size of the fleet. The longest is a quarter of the users' shortest bound.
+/// Wait of a daemon that was told of news, for each daemon: the calls that a series of changes costs the store stay the
+/// same whatever the size of the fleet. The longest is a quarter of the users' shortest bound.
 constexpr std::chrono::milliseconds pausePerDaemon(9);
 constexpr std::chrono::milliseconds longestPause(500);
 
+const char *nameOf(core::WatchRoster::Mode mode)
+{
+    switch (mode) {
+    case core::WatchRoster::Mode::Alone:
+        return "alone";
+    case core::WatchRoster::Mode::Watching:
+        return "watching";
+    case core::WatchRoster::Mode::Following:
+        return "following";
+    }
+    return "unknown";
+}
+
 FeedTiming configTiming()
 {
     FeedTiming timing;
@@ -65,6 +78,8 @@
     , m_configs(m_worker.context(), m_platform->configs(),
                 {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
                  [this](bool isReachable, const std::string &detail) {
+                     if (isReachable)
+                         m_roster.configsAnswered(bootTime());
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
                  }},
@@ -77,6 +92,8 @@
                         publishTargets();
                     },
                     [this](bool isReachable, const std::string &detail) {
+                        if (isReachable)
+                            m_roster.targetsAnswered(bootTime());
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
                     }})
@@ -86,6 +103,7 @@
             [this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
     }))
     , m_self{settings.id, 0}
+    , m_roster(settings.id, bootTime())
 {
 }
 
@@ -203,8 +221,8 @@
     m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
     const auto pause
         = std::clamp<core::Duration>(pausePerDaemon * (peers.size() + 1), FeedTiming().pause, longestPause);
-    m_configs.setPause(pause);
-    m_targetFeed.setPause(pause);
+    m_configs.setNewsPause(pause);
+    m_targetFeed.setNewsPause(pause);
     for (const auto &[name, service] : m_services)
         run(name, core::ControlPeers{peers});
 }
@@ -264,6 +282,25 @@
     return isReachable;
 }
 
+/// Takes this daemon's part in watching the store for all.
+void GatewayControl::shareWatches()
+{
+    const core::Time now = bootTime();
+    const auto before = m_roster.mode();
+    const auto mode = m_roster.tick(now);
+    if (mode != before) {
+        m_events.record(Severity::Info, core::events::watchModeChanged,
+                        std::string("mode=") + nameOf(mode) + " before=" + nameOf(before)
+                            + " configs=" + std::to_string(m_configs.position().completeTo)
+                            + " targets=" + std::to_string(m_targetFeed.position().completeTo));
+        const bool isWatching = mode != core::WatchRoster::Mode::Following;
+        m_configs.setWatching(isWatching);
+        m_targetFeed.setWatching(isWatching);
+    }
+    if (const auto notice = m_roster.takeNotice(m_configs.position(), m_targetFeed.position(), now))
+        sendToAll(*notice);
+}
+
 void GatewayControl::publishTargets()
 {
     const core::Time now = bootTime();
@@ -293,6 +330,7 @@
 
 void GatewayControl::onTimer()
 {
+    shareWatches();
     if (m_hasTargets)
         publishTargets();
     const core::Time now = bootTime();
@@ -407,8 +445,7 @@
     if (service.control != nullptr && service.control->isController())
         run(report.service, report.report);
     else if (!service.controller.empty())
-        send(service.controller,
-             protocol::LoadMessage{report.service, report.report.requests, report.report.slowness});
+        send(service.controller, protocol::LoadMessage{report.service, report.report.requests, report.report.slowness});
 }
 
 void GatewayControl::take(const core::OwnerRefused &report)
@@ -525,6 +562,13 @@
         send(from, protocol::Hello{m_settings.peerAddress, true});
 }
 
+void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
+{
+    m_roster.heard(message, bootTime());
+    m_configs.told(message.configs);
+    m_targetFeed.told(message.targets);
+}
+
 void GatewayControl::send(const std::string &to, const protocol::GatewayMessage &message)
 {
     const auto peer = m_peers.find(to);
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -5,6 +5,7 @@
 
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/targetregistry.h>
+#include <sardinehinge/core/watchroster.h>
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
@@ -61,6 +62,7 @@
     void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
+    void shareWatches();
     void publishTargets();
     void addPeer(const core::PeerDaemon &peer);
     void publishPeers();
@@ -90,6 +92,7 @@
     void heard(const std::string &from, const protocol::LoadMessage &message);
     void heard(const std::string &from, const protocol::RefusedMessage &message);
     void heard(const std::string &from, const protocol::Hello &message);
+    void heard(const std::string &from, const core::WatchNotice &message);
     void send(const std::string &to, const protocol::GatewayMessage &message);
     void sendToAll(const protocol::GatewayMessage &message);
 
@@ -116,6 +119,7 @@
     std::atomic<bool> m_hasResigned = false;
     std::uint64_t m_configVersion = 0;
     core::TargetRegistry m_registry;
+    core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
     std::map<std::string, Service> m_services;
 };
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -77,6 +77,17 @@
   3: i32 key,
 }
 
+struct FeedPosition {
+  1: i64 changedAt,
+  2: i64 completeTo,
+}
+
+struct WatchNotice {
+  1: FeedPosition configs,
+  2: FeedPosition targets,
+  3: i32 ageMs,
+}
+
 struct Hello {
   1: string address,
   2: bool isReply,
@@ -94,4 +105,5 @@
   9: optional Hello hello,
   10: optional Ack ack,
   11: optional OwnersChange ownersChange,
+  12: optional WatchNotice watchNotice,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/result.h>
+#include <sardinehinge/core/watchroster.h>
 
 #include <string>
 #include <string_view>
@@ -46,10 +47,11 @@
     bool operator==(const Hello &) const = default;
 };
 
-using GatewayMessage = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControlBeat, core::ControlAck,
-                                    core::ControlResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello>;
+using GatewayMessage
+    = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControlBeat, core::ControlAck,
+                   core::ControlResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello, core::WatchNotice>;
 
-/// A message and who sent it. The `from` fields of beats and resignations are the sender's id.
+/// A message and who sent it. The `from` fields of beats, resignations and notices are the sender's id.
 struct GatewayDatagram
 {
     core::DaemonIdentity sender;
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -4,11 +4,10 @@
 
 #include <gateway_types.h>
 
-#include <optional>
-#include <utility>
-
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <utility>
 
 namespace sardinehinge::protocol {
 
@@ -28,6 +27,19 @@
     return static_cast<std::uint64_t>(value);
 }
 
+gatewaywire::FeedPosition toWire(const core::FeedPosition &position)
+{
+    gatewaywire::FeedPosition out;
+    out.__set_changedAt(toWire(position.changedAt));
+    out.__set_completeTo(toWire(position.completeTo));
+    return out;
+}
+
+core::FeedPosition fromWire(const gatewaywire::FeedPosition &position) noexcept
+{
+    return {fromWire(position.changedAt), fromWire(position.completeTo)};
+}
+
 /// Puts each kind of message into its field of the datagram.
 struct MessageWriter
 {
@@ -103,6 +115,16 @@
         out.__set_resigned(resigned);
     }
 
+    void operator()(const core::WatchNotice &message) const
+    {
+        gatewaywire::WatchNotice notice;
+        notice.__set_configs(toWire(message.configs));
+        notice.__set_targets(toWire(message.targets));
+        notice.__set_ageMs(
+            static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(message.age).count()));
+        out.__set_watchNotice(notice);
+    }
+
     void operator()(const OwnersWanted &message) const
     {
         gatewaywire::OwnersWanted wanted;
@@ -209,7 +231,7 @@
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
-        + isset.hello + isset.ack + isset.ownersChange;
+        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -225,6 +247,12 @@
                                  in.beat.wantsAck};
     if (isset.ownersChange)
         return readChange(in.ownersChange);
+    if (isset.watchNotice) {
+        if (in.watchNotice.ageMs < 0)
+            return std::nullopt;
+        return core::WatchNotice{in.sender, fromWire(in.watchNotice.configs), fromWire(in.watchNotice.targets),
+                                 std::chrono::milliseconds(in.watchNotice.ageMs)};
+    }
     if (isset.ack)
         return core::ControlAck{
             in.ack.group, {in.sender, fromWire(in.incarnation)}, fromWire(in.ack.term), core::Time(in.ack.sentAt)};
