Pace announcements of owners, and let a new controller go on from its predecessor's last

The lines show control changing hands once a second from 7 s on, so that no lost owner's lease ever ended (each new controller waits anew). A new controller sent 240 owners, some 5 KB, to 79 daemons, then a change for each of 238 grants; who missed one asked for the whole again. On a link of 10 Mbit/s that held up the heartbeats for more than the 700 ms after which the next daemon takes over.

Change: at most one announcement for each millisecond and daemon; the first one of a term is a change of the last one of the term before; whole lists are answered at 60 a second.

A controller on a narrow link is still the weak place.

--- a/packages/core/include/sardinehinge/core/keyrange.h
+++ b/packages/core/include/sardinehinge/core/keyrange.h
@@ -111,6 +111,7 @@
 {
     std::string service;
     std::uint64_t term = 0;
+    std::uint64_t baseTerm = 0; ///< Of the announcement before: a new controller goes on from its predecessor's last.
     std::uint64_t base = 0; ///< Sequence of the announcement before.
     std::uint64_t sequence = 0;
     std::vector<RoutedRange> ranges; ///< In order, without overlaps.
@@ -118,7 +119,7 @@
     bool operator==(const RangeOwnersChange &) const = default;
 };
 
-/// The change from `before` to `after`, two announcements of one term.
+/// The change from `before` to `after`, two announcements of a service.
 RangeOwnersChange changeBetween(const RangeOwners &before, const RangeOwners &after);
 
 /// `before` with `change` applied; nothing when the change has another base.
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -48,6 +48,8 @@
     Duration firstWait = std::chrono::milliseconds(1000); ///< The first assignment waits until no target has joined for
                                                           ///< so long: at a first start they register by turns.
     Duration planEvery = std::chrono::milliseconds(500);
+    Duration announceStep = std::chrono::milliseconds(1); ///< For each daemon, between two announcements: at some 250
+                                                          ///< bytes they take a fifth of a link of 10 Mbit/s.
     double loadMemory = 0.75; ///< Part of the key load that is kept from one planning period to the next.
 
     bool operator==(const OwnershipTiming &) const = default;
@@ -409,6 +411,7 @@
     KeyLoad m_load;
     TargetSpeeds m_speeds;
     std::uint64_t m_sequence = 0;
+    Time m_nextAnnouncement = 0ms;
     std::vector<RoutedRange> m_announced;
 };
 
--- a/packages/core/src/keyrange.cpp
+++ b/packages/core/src/keyrange.cpp
@@ -17,7 +17,7 @@
 
 RangeOwnersChange changeBetween(const RangeOwners &before, const RangeOwners &after)
 {
-    RangeOwnersChange change{after.service, after.term, before.sequence, after.sequence, {}};
+    RangeOwnersChange change{after.service, after.term, before.term, before.sequence, after.sequence, {}};
     for (const RoutedRange &range : after.ranges) {
         const RoutedRange *known = before.find(range.range.first);
         const bool isSame = known != nullptr && known->owner == range.owner && known->state == range.state
@@ -30,9 +30,9 @@
 
 std::optional<RangeOwners> applyChange(const RangeOwners &before, const RangeOwnersChange &change)
 {
-    if (before.term != change.term || before.sequence != change.base)
+    if (before.ranges.empty() || before.term != change.baseTerm || before.sequence != change.base)
         return std::nullopt;
-    RangeOwners after{before.service, before.term, change.sequence, change.ranges};
+    RangeOwners after{before.service, change.term, change.sequence, change.ranges};
     for (const RoutedRange &old : before.ranges) {
         // What the change leaves of the old range: the gaps between the changed ones.
         std::uint32_t first = old.range.first;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -520,6 +520,8 @@
 
 void RangeControl::announceIfChanged()
 {
+    if (m_now < m_nextAnnouncement)
+        return;
     std::vector<RoutedRange> ranges;
     const bool isStoreNear = m_now - m_confirmedAt < m_timing.storeSilence;
     for (const Entry &entry : m_entries) {
@@ -538,6 +540,7 @@
     if (ranges == m_announced || ranges.empty())
         return;
     m_announced = std::move(ranges);
+    m_nextAnnouncement = m_now + m_timing.announceStep * static_cast<Duration::rep>(m_peers.size());
     ++m_sequence;
     m_effects.emplace_back(AnnounceOwners{owners()});
 }
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -28,6 +28,10 @@
 /// same whatever the size of the fleet. The longest is a quarter of the users' shortest bound.
 constexpr std::chrono::milliseconds pausePerDaemon(9);
 constexpr std::chrono::milliseconds longestPause(500);
+/// Between two whole lists of owners, on average: at some 5 KB for 240 owners they take a quarter of a link of 10 Mbit/s.
+constexpr std::chrono::milliseconds wholeStep(16);
+/// As many as fit in this time may be sent at once.
+constexpr std::chrono::milliseconds wholeBurst(160);
 
 const char *nameOf(core::WatchRoster::Mode mode)
 {
@@ -408,7 +412,7 @@
 {
     const core::RangeOwners &before = serviceOf(effect.owners.service).owners;
     // Who missed the announcement before asks for the whole.
-    if (before.term == effect.owners.term && before.sequence + 1 == effect.owners.sequence)
+    if (!before.ranges.empty())
         sendToAll(core::changeBetween(before, effect.owners));
     else
         sendToAll(effect.owners);
@@ -542,8 +546,15 @@
 void GatewayControl::heard(const std::string &from, const protocol::OwnersWanted &message)
 {
     const Service &service = serviceOf(message.service);
-    if (service.control != nullptr && service.control->isController())
-        send(from, service.control->owners());
+    if (service.control == nullptr || !service.control->isController())
+        return;
+    // Daemons ask again at the next beat: a rush of answers must not hold up the beats.
+    const core::Time now = bootTime();
+    m_nextWhole = std::max(m_nextWhole, now - wholeBurst);
+    if (m_nextWhole > now)
+        return;
+    m_nextWhole += wholeStep;
+    send(from, service.control->owners());
 }
 
 void GatewayControl::heard(const std::string &, const protocol::LoadMessage &message)
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -121,6 +121,7 @@
     core::TargetRegistry m_registry;
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
+    core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
     std::map<std::string, Service> m_services;
 };
 
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -28,6 +28,7 @@
   3: i64 base,
   4: i64 sequence,
   5: list<ChangedPart> parts,
+  6: i64 baseTerm,
 }
 
 struct Beat {
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -71,6 +71,7 @@
         gatewaywire::OwnersChange change;
         change.__set_group(message.service);
         change.__set_term(toWire(message.term));
+        change.__set_baseTerm(toWire(message.baseTerm));
         change.__set_base(toWire(message.base));
         change.__set_sequence(toWire(message.sequence));
         for (const core::RoutedRange &range : message.ranges) {
@@ -196,7 +197,8 @@
 
 std::optional<GatewayMessage> readChange(const gatewaywire::OwnersChange &in)
 {
-    core::RangeOwnersChange change{in.group, fromWire(in.term), fromWire(in.base), fromWire(in.sequence), {}};
+    core::RangeOwnersChange change{
+        in.group, fromWire(in.term), fromWire(in.baseTerm), fromWire(in.base), fromWire(in.sequence), {}};
     std::int32_t next = 0;
     for (const gatewaywire::ChangedPart &part : in.parts) {
         const bool isValid = part.first >= next && isKey(part.last) && part.last >= part.first && part.state >= 0
