Let only watching daemons take in changes at once

Change: whoever isn't watching for others calls at most once in a pause that grows with the fleet, up to 0.8 s, for the first change at once.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -19,7 +19,8 @@
     core::Duration wait = std::chrono::milliseconds(1000); ///< One waiting call; its answer shows the others that the
                                                            ///< store is heard, see core::RosterTiming.
     core::Duration catchUpWait = std::chrono::milliseconds(200); ///< The same of a call for news that others told of.
-    core::Duration pause = std::chrono::milliseconds(100); ///< After changes: those that follow closely cost one call.
+    core::Duration pause = std::chrono::milliseconds(100); ///< Of a watch after changes: those that follow closely cost
+                                                           ///< one call. setSparing() gives that of other daemons.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
     core::Duration retryMax
         = std::chrono::milliseconds(300); ///< With the time to connect and the registry's grace, what
@@ -55,10 +56,11 @@
     {
         m_isWatching = isWatching;
         if (m_isIdle && isWatching)
-            watch();
+            next();
     }
-    /// Wait before calls for news that others told of: what follows closely costs one call.
-    void setNewsPause(core::Duration pause) noexcept { m_newsPause = pause; }
+    /// Calls at most once in `pause` for changes, whoever told of them; 0: as often as FeedTiming says. For daemons
+    /// that nobody else depends on.
+    void setSparing(core::Duration pause) noexcept { m_sparing = pause; }
     /// Another daemon has come so far.
     void told(const core::FeedPosition &position)
     {
@@ -67,7 +69,7 @@
         if (position.changedAt <= m_position.completeTo)
             m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
         else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo && m_isIdle)
-            next(m_newsPause);
+            next();
     }
     const core::FeedPosition &position() const noexcept { return m_position; }
 
@@ -76,7 +78,7 @@
     {
         m_timer.cancel();
         ++m_round;
-        m_isListed ? next(core::Duration(0)) : list({});
+        m_isListed ? next() : list({});
     }
 
 private:
@@ -98,20 +100,24 @@
             m_position = {page.revision, page.revision};
             m_isListed = true;
             m_handlers.listed(m_names);
-            next(core::Duration(0));
+            m_changedAt = std::chrono::steady_clock::now();
+            next();
         });
     }
 
-    /// Goes on after an answer: watches, calls for news after `newsPause`, or waits to be told of some.
-    void next(core::Duration newsPause)
+    /// Goes on after an answer: calls again, at once or after the pause that follows changes, or waits to be told of
+    /// some.
+    void next()
     {
-        m_isIdle = false;
-        if (m_isWatching)
+        m_isIdle = !m_isWatching && m_newsAt <= m_position.completeTo;
+        if (m_isIdle)
+            return;
+        const auto pause = std::max(m_timing.pause, m_sparing);
+        const auto left = pause - (std::chrono::steady_clock::now() - m_changedAt);
+        if (left <= core::Duration(0))
             watch();
-        else if (m_newsAt > m_position.completeTo)
-            after(newsPause, [this] { watch(); });
         else
-            m_isIdle = true;
+            after(left, [this] { watch(); });
     }
 
     void watch()
@@ -130,10 +136,11 @@
             succeed();
             take(page);
             m_position.completeTo = std::max(m_position.completeTo, page.revision);
-            if (page.entries.empty())
-                return next(m_newsPause);
-            m_position.changedAt = m_position.completeTo;
-            after(m_timing.pause, [this] { next(m_newsPause); });
+            if (!page.entries.empty()) {
+                m_position.changedAt = m_position.completeTo;
+                m_changedAt = std::chrono::steady_clock::now();
+            }
+            next();
         });
     }
 
@@ -176,7 +183,8 @@
     std::vector<std::string> m_names;
     core::FeedPosition m_position;
     std::uint64_t m_newsAt = 0; ///< Others know of a change there.
-    core::Duration m_newsPause = core::Duration(0);
+    core::Duration m_sparing = core::Duration(0);
+    std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
     bool m_isWatching = true;
     bool m_isIdle = false; ///< No call is under way, and none is due.
     bool m_isListed = false;
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -24,11 +24,13 @@
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
-/// Wait of a daemon that was told of news, for each daemon: the calls that a series of changes costs the store stay the
-/// same whatever the size of the fleet. The longest is a quarter of the users' shortest bound.
+/// Pause of a daemon that isn't watching for others, for each daemon: the calls that a series of changes costs the
+/// store stay the same whatever the size of the fleet. The longest leaves time for a lost notice and a lost answer
+/// within the users' shortest bound of 2 s.
 constexpr std::chrono::milliseconds pausePerDaemon(9);
-constexpr std::chrono::milliseconds longestPause(500);
-/// Between two whole lists of owners, on average: at some 5 KB for 240 owners they take a quarter of a link of 10 Mbit/s.
+constexpr std::chrono::milliseconds longestPause(800);
+/// Between two whole lists of owners, on average: at some 5 KB for 240 owners they take a quarter of a link of 10
+/// Mbit/s.
 constexpr std::chrono::milliseconds wholeStep(16);
 /// As many as fit in this time may be sent at once.
 constexpr std::chrono::milliseconds wholeBurst(160);
@@ -226,10 +228,7 @@
     for (const auto &[id, peer] : m_peers)
         peers.push_back(peer);
     m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
-    const auto pause
-        = std::clamp<core::Duration>(pausePerDaemon * (peers.size() + 1), FeedTiming().pause, longestPause);
-    m_configs.setNewsPause(pause);
-    m_targetFeed.setNewsPause(pause);
+    setPauses();
     for (const auto &[name, service] : m_services)
         run(name, core::ControlPeers{peers, m_settings.linkMbps});
 }
@@ -289,6 +288,16 @@
     return isReachable;
 }
 
+/// A watching daemon takes in changes quickly, since all others learn of them from it.
+void GatewayControl::setPauses()
+{
+    const bool isSparing = m_roster.mode() != core::WatchRoster::Mode::Watching;
+    const auto pause
+        = isSparing ? std::min<core::Duration>(pausePerDaemon * (m_peers.size() + 1), longestPause) : core::Duration(0);
+    m_configs.setSparing(pause);
+    m_targetFeed.setSparing(pause);
+}
+
 /// Takes this daemon's part in watching the store for all.
 void GatewayControl::shareWatches()
 {
@@ -304,6 +313,8 @@
         m_configs.setWatching(isWatching);
         m_targetFeed.setWatching(isWatching);
     }
+    if (mode != before)
+        setPauses();
     if (const auto notice = m_roster.takeNotice(m_configs.position(), m_targetFeed.position(), now))
         sendToAll(*notice);
 }
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -63,6 +63,7 @@
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
     void shareWatches();
+    void setPauses();
     void publishTargets();
     void addPeer(const core::PeerDaemon &peer);
     void publishPeers();
