Pass changed targets on from the watching daemons

Ruled out: longer pauses alone (bounds of drain and configuration); passing on large changes, which hold up narrow links.

Change: a watching daemon passes up to 12 changed entries on, with the revision of the change before; who has that one needs no call, everybody else calls as before. An answer of the store that is older than what was passed on is dropped. Tests of FeedWatcher with answers given by the test: news, gaps, and the late answer.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -40,6 +40,8 @@
         std::function<void(const std::vector<std::string> &)> listed;
         /// Whether the last call was answered, with what is known of a failure.
         std::function<void(bool isReachable, const std::string &detail)> reached;
+        /// A watch brought these entries; `base` is the revision of the change before them. May be empty.
+        std::function<void(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base)> watched;
     };
 
     FeedWatcher(boost::asio::io_context &context, edges::Feed<Value> &feed, Handlers handlers, FeedTiming timing = {})
@@ -71,6 +73,15 @@
         else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo && m_isIdle)
             next();
     }
+    /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision`.
+    void takeFrom(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base, std::uint64_t revision)
+    {
+        if (!m_isListed || m_position.completeTo < base || m_position.completeTo >= revision)
+            return;
+        for (const auto &entry : entries)
+            m_handlers.changed(entry);
+        m_position = {revision, revision};
+    }
     const core::FeedPosition &position() const noexcept { return m_position; }
 
     /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
@@ -134,11 +145,15 @@
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
-            take(page);
+            // Another daemon may have told of later changes meanwhile, which this answer must not undo.
+            const bool isNews = page.revision >= m_position.completeTo && !page.entries.empty();
             m_position.completeTo = std::max(m_position.completeTo, page.revision);
-            if (!page.entries.empty()) {
-                m_position.changedAt = m_position.completeTo;
+            if (isNews) {
+                take(page);
+                const std::uint64_t base = std::exchange(m_position.changedAt, m_position.completeTo);
                 m_changedAt = std::chrono::steady_clock::now();
+                if (m_handlers.watched)
+                    m_handlers.watched(page.entries, base);
             }
             next();
         });
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -29,6 +29,8 @@
 /// within the users' shortest bound of 2 s.
 constexpr std::chrono::milliseconds pausePerDaemon(9);
 constexpr std::chrono::milliseconds longestPause(800);
+/// Changes of targets that are told to the others; more at once would hold up a narrow link, so they call the store.
+constexpr std::size_t mostPassedOn = 12;
 /// Between two whole lists of owners, on average: at some 5 KB for 240 owners they take a quarter of a link of 10
 /// Mbit/s.
 constexpr std::chrono::milliseconds wholeStep(16);
@@ -102,7 +104,8 @@
                             m_roster.targetsAnswered(bootTime());
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
-                    }})
+                    },
+                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); }})
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
         m_reports.drain(
@@ -319,6 +322,17 @@
         sendToAll(*notice);
 }
 
+/// Tells the others of a few changed targets themselves, which saves each of them a call.
+void GatewayControl::passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base)
+{
+    if (m_roster.mode() != core::WatchRoster::Mode::Watching || entries.size() > mostPassedOn)
+        return;
+    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}};
+    for (const auto &entry : entries)
+        changes.changes.push_back({entry.name, entry.value});
+    sendToAll(changes);
+}
+
 void GatewayControl::publishTargets()
 {
     const core::Time now = bootTime();
@@ -595,6 +609,14 @@
     m_targetFeed.told(message.targets);
 }
 
+void GatewayControl::heard(const std::string &, const protocol::TargetChanges &message)
+{
+    std::vector<edges::FeedEntry<core::RegisteredTarget>> entries;
+    for (const protocol::TargetChange &change : message.changes)
+        entries.push_back({change.id, change.target, {}});
+    m_targetFeed.takeFrom(entries, message.base, message.revision);
+}
+
 void GatewayControl::send(const std::string &to, const protocol::GatewayMessage &message)
 {
     const auto peer = m_peers.find(to);
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -63,6 +63,7 @@
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
     void shareWatches();
+    void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
     void setPauses();
     void publishTargets();
     void addPeer(const core::PeerDaemon &peer);
@@ -94,6 +95,7 @@
     void heard(const std::string &from, const protocol::RefusedMessage &message);
     void heard(const std::string &from, const protocol::Hello &message);
     void heard(const std::string &from, const core::WatchNotice &message);
+    void heard(const std::string &from, const protocol::TargetChanges &message);
     void send(const std::string &to, const protocol::GatewayMessage &message);
     void sendToAll(const protocol::GatewayMessage &message);
 
--- /dev/null
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -0,0 +1,130 @@
+#include "../src/feedwatcher.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace sardinehinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Entries = std::vector<edges::FeedEntry<int>>;
+
+/// A feed whose answers the test gives.
+class FakeFeed : public edges::Feed<int>
+{
+public:
+    void list(const std::string &, Callback done) override { calls.push_back({0, std::move(done)}); }
+    void watch(std::uint64_t revision, core::Duration, Callback done) override
+    {
+        calls.push_back({revision, std::move(done)});
+    }
+
+    void answer(const Entries &entries, std::uint64_t revision)
+    {
+        REQUIRE_FALSE(calls.empty());
+        const auto call = std::move(calls.front());
+        calls.erase(calls.begin());
+        call.done({edges::StoreOutcome::Ok, entries, revision, false, {}});
+    }
+
+    struct Call
+    {
+        std::uint64_t revision;
+        Callback done;
+    };
+    std::vector<Call> calls;
+};
+
+/// A watcher that has listed {a: 1} at revision 10.
+struct Listed
+{
+    explicit Listed(bool isWatching)
+    {
+        watcher.setWatching(isWatching);
+        watcher.start();
+        feed.answer({{"a", 1, {}}}, 10);
+        run();
+    }
+
+    void run()
+    {
+        context.restart();
+        context.run_for(20ms);
+    }
+
+    static daemon::FeedTiming timing()
+    {
+        daemon::FeedTiming timing;
+        timing.pause = 1ms;
+        return timing;
+    }
+
+    boost::asio::io_context context;
+    FakeFeed feed;
+    std::map<std::string, int> values;
+    daemon::FeedWatcher<int> watcher{context,
+                                     feed,
+                                     {[this](const edges::FeedEntry<int> &entry) {
+                                          if (entry.value)
+                                              values[entry.name] = *entry.value;
+                                          else
+                                              values.erase(entry.name);
+                                      },
+                                      [](const auto &) {},
+                                      [](bool, const std::string &) {},
+                                      {}},
+                                     timing()};
+};
+
+} // namespace
+
+TEST_CASE("A feed that is watched keeps a call waiting, one that follows calls for news only")
+{
+    Listed watching(true);
+    CHECK(watching.feed.calls.size() == 1);
+    Listed following(false);
+    CHECK(following.feed.calls.empty());
+    following.watcher.told({9, 30}); // No change since its list.
+    following.run();
+    CHECK(following.feed.calls.empty());
+    following.watcher.told({31, 31});
+    following.run();
+    REQUIRE(following.feed.calls.size() == 1);
+    CHECK(following.feed.calls.front().revision == 30);
+    following.feed.answer({{"b", 2, {}}}, 31);
+    following.run();
+    CHECK(following.feed.calls.empty());
+    CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
+}
+
+TEST_CASE("Changes that another daemon passes on save a call, unless some before them are missing")
+{
+    struct Case
+    {
+        std::uint64_t base;
+        std::uint64_t revision;
+        bool isTaken;
+    };
+    const auto [base, revision, isTaken]
+        = GENERATE(values<Case>({{8, 20, true}, {10, 20, true}, {12, 20, false}, {8, 10, false}}));
+    Listed following(false);
+    following.watcher.takeFrom({{"a", std::nullopt, {}}, {"b", 2, {}}}, base, revision);
+    CHECK((following.values == std::map<std::string, int>{{"b", 2}}) == isTaken);
+    following.watcher.told({revision, revision});
+    following.run();
+    CHECK(following.feed.calls.empty() == (isTaken || revision <= 10));
+}
+
+TEST_CASE("A late answer of the store does not undo what another daemon passed on since")
+{
+    Listed following(false);
+    following.watcher.told({12, 12});
+    following.run();
+    REQUIRE(following.feed.calls.size() == 1);
+    following.watcher.takeFrom({{"a", 3, {}}}, 10, 15);
+    following.feed.answer({{"a", 2, {}}}, 12);
+    following.run();
+    CHECK(following.values == std::map<std::string, int>{{"a", 3}});
+}
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -89,6 +89,24 @@
   3: i32 ageMs,
 }
 
+struct TargetChange {
+  1: string id,
+  2: bool isThere,  // False: it was deleted, or can't be read; the rest is empty then.
+  3: i64 born,
+  4: string group,
+  5: string address,
+  6: string failureDomain,
+  7: i32 capacity,
+  8: bool isDraining,
+  9: i32 warmupMs,
+}
+
+struct TargetChanges {
+  1: i64 base,      // Store revision of the change before these.
+  2: i64 revision,
+  3: list<TargetChange> changes,
+}
+
 struct Hello {
   1: string address,
   2: bool isReply,
@@ -108,4 +126,5 @@
   10: optional Ack ack,
   11: optional OwnersChange ownersChange,
   12: optional WatchNotice watchNotice,
+  13: optional TargetChanges targetChanges,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -4,9 +4,11 @@
 #include <sardinehinge/core/result.h>
 #include <sardinehinge/core/watchroster.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace sardinehinge::protocol {
 
@@ -38,6 +40,26 @@
     bool operator==(const RefusedMessage &) const = default;
 };
 
+/// One changed entry of the registry of targets.
+struct TargetChange
+{
+    std::string id;
+    std::optional<core::RegisteredTarget> target; ///< Nothing: it was deleted, or can't be read.
+
+    bool operator==(const TargetChange &) const = default;
+};
+
+/// What a daemon's watch of the registry just brought. Whoever has all changes up to `base` has all up to `revision`
+/// then.
+struct TargetChanges
+{
+    std::uint64_t base = 0; ///< Store revision of the change before these.
+    std::uint64_t revision = 0;
+    std::vector<TargetChange> changes;
+
+    bool operator==(const TargetChanges &) const = default;
+};
+
 /// Makes a daemon known to another.
 struct Hello
 {
@@ -48,9 +70,9 @@
     bool operator==(const Hello &) const = default;
 };
 
-using GatewayMessage
-    = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControlBeat, core::ControlAck,
-                   core::ControlResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello, core::WatchNotice>;
+using GatewayMessage = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControlBeat, core::ControlAck,
+                                    core::ControlResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello,
+                                    core::WatchNotice, TargetChanges>;
 
 /// A message and who sent it. The `from` fields of beats, resignations and notices are the sender's id.
 struct GatewayDatagram
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -126,6 +126,31 @@
         out.__set_watchNotice(notice);
     }
 
+    void operator()(const TargetChanges &message) const
+    {
+        gatewaywire::TargetChanges changes;
+        changes.__set_base(toWire(message.base));
+        changes.__set_revision(toWire(message.revision));
+        for (const TargetChange &change : message.changes) {
+            gatewaywire::TargetChange entry;
+            entry.__set_id(change.id);
+            entry.__set_isThere(change.target.has_value());
+            if (const auto &target = change.target) {
+                entry.__set_born(toWire(target->life.born));
+                entry.__set_group(target->service);
+                entry.__set_address(target->address);
+                entry.__set_failureDomain(target->failureDomain);
+                entry.__set_capacity(static_cast<std::int32_t>(target->slots));
+                entry.__set_isDraining(target->isDraining);
+                entry.__set_warmupMs(static_cast<std::int32_t>(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(target->warmupLeft).count()));
+            }
+            changes.changes.push_back(entry);
+        }
+        changes.__isset.changes = true;
+        out.__set_targetChanges(changes);
+    }
+
     void operator()(const OwnersWanted &message) const
     {
         gatewaywire::OwnersWanted wanted;
@@ -198,8 +223,8 @@
 
 std::optional<GatewayMessage> readChange(const gatewaywire::OwnersChange &in)
 {
-    core::RangeOwnersChange change{
-        in.group, fromWire(in.term), fromWire(in.baseTerm), fromWire(in.base), fromWire(in.sequence), {}};
+    core::RangeOwnersChange change{in.group,          fromWire(in.term),     fromWire(in.baseTerm),
+                                   fromWire(in.base), fromWire(in.sequence), {}};
     std::int32_t next = 0;
     for (const gatewaywire::ChangedPart &part : in.parts) {
         const bool isValid = part.first >= next && isKey(part.last) && part.last >= part.first && part.state >= 0
@@ -230,11 +255,33 @@
     return load;
 }
 
+std::optional<GatewayMessage> readTargetChanges(const gatewaywire::TargetChanges &in)
+{
+    TargetChanges changes{fromWire(in.base), fromWire(in.revision), {}};
+    if (changes.revision < changes.base)
+        return std::nullopt;
+    for (const gatewaywire::TargetChange &entry : in.changes) {
+        if (entry.id.empty() || (entry.isThere && (entry.capacity < 1 || entry.warmupMs < 0)))
+            return std::nullopt;
+        TargetChange change{entry.id, std::nullopt};
+        if (entry.isThere)
+            change.target = core::RegisteredTarget{{entry.id, fromWire(entry.born)},
+                                                   entry.group,
+                                                   entry.address,
+                                                   entry.failureDomain,
+                                                   static_cast<std::uint32_t>(entry.capacity),
+                                                   entry.isDraining,
+                                                   std::chrono::milliseconds(entry.warmupMs)};
+        changes.changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
 std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
-        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice;
+        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -250,6 +297,8 @@
                                  in.beat.wantsAck};
     if (isset.ownersChange)
         return readChange(in.ownersChange);
+    if (isset.targetChanges)
+        return readTargetChanges(in.targetChanges);
     if (isset.watchNotice) {
         if (in.watchNotice.ageMs < 0)
             return std::nullopt;
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -24,6 +24,11 @@
         protocol::RefusedMessage{"s", "a", 65535},
         protocol::Hello{"10.0.0.1:7620", true, 200},
         core::WatchNotice{"sender", {17, 30}, {29, 31}, 120ms},
+        protocol::TargetChanges{
+            17,
+            30,
+            {{"a", core::RegisteredTarget{{"a", 1700000000000}, "s", "10.0.0.9:80", "d", 6, true, 2500ms}},
+             {"b", std::nullopt}}},
     };
     return all;
 }
