Split the datagrams of GatewayControl from its store duties, and read UDP addresses in one place

Change: gatewaycontrol_peers.cpp; udpaddress.h, which also refuses an address with something after its port. No other change of behaviour.

--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -83,6 +83,7 @@
     void take(const core::OwnerRefused &report);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
+    // Datagrams. In gatewaycontrol_peers.cpp.
     void receive();
     void received(std::size_t bytes);
     void heard(const std::string &from, const core::RangeOwners &message);
--- a/packages/daemon/src/peerduty.cpp
+++ b/packages/daemon/src/peerduty.cpp
@@ -1,11 +1,11 @@
 #include "peerduty.h"
 
+#include "udpaddress.h"
+
 #include <sardinehinge/core/eventnumbers.h>
 
 #include <boost/asio/ip/address.hpp>
 
-#include <charconv>
-
 namespace sardinehinge::daemon {
 
 namespace {
@@ -15,20 +15,6 @@
 constexpr std::size_t outgoingRing = 16'384;
 constexpr int socketBufferBytes = 1 << 20;
 
-std::optional<udp::endpoint> parseEndpoint(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const auto [end, fault] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (error || fault != std::errc())
-        return std::nullopt;
-    return udp::endpoint(ip, port);
-}
-
 } // namespace
 
 PeerDuty::PeerDuty(core::DaemonIdentity self, EventLog &events, Metrics &metrics,
@@ -58,7 +44,7 @@
 
 core::Result<core::Done> PeerDuty::start(const std::string &address)
 {
-    const auto endpoint = parseEndpoint(address);
+    const auto endpoint = parseUdpAddress(address);
     boost::system::error_code error;
     if (endpoint) {
         m_socket.open(endpoint->protocol(), error);
@@ -78,7 +64,7 @@
 {
     m_endpoints.clear();
     for (const auto &[id, address] : addresses.byId) {
-        if (const auto endpoint = parseEndpoint(address))
+        if (const auto endpoint = parseUdpAddress(address))
             m_endpoints.emplace(id, *endpoint);
     }
 }
