List anew wherever a watch was relied on when the store drops its history

Change: a notice says when its sender last had to list anew; followers whose own list is older do the same. The test failed before (a watch from revision 20 on, which doesn't show what came at 15).

--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -13,6 +13,8 @@
 {
     std::uint64_t changedAt = 0; ///< Store revision up to which the latest known change is included.
     std::uint64_t completeTo = 0; ///< There was no later change up to this store revision.
+    std::uint64_t relistedAt = 0; ///< The store had dropped history: all was listed anew then. Watches may have missed
+                                  ///< changes before it, so whoever relied on them lists as well. 0: never.
 
     bool operator==(const FeedPosition &) const = default;
 };
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -68,6 +68,8 @@
     {
         if (!m_isListed)
             return;
+        if (position.relistedAt > m_listedAt)
+            return listAgain();
         if (position.changedAt <= m_position.completeTo)
             m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
         else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo && m_isIdle)
@@ -80,7 +82,7 @@
             return;
         for (const auto &entry : entries)
             m_handlers.changed(entry);
-        m_position = {revision, revision};
+        m_position.changedAt = m_position.completeTo = revision;
     }
     const core::FeedPosition &position() const noexcept { return m_position; }
 
@@ -95,6 +97,16 @@
 private:
     using Page = edges::FeedPage<Value>;
 
+    /// Drops answers that are under way.
+    void listAgain()
+    {
+        m_timer.cancel();
+        ++m_round;
+        m_isListed = false;
+        m_isIdle = false;
+        list({});
+    }
+
     void list(const std::string &after)
     {
         if (after.empty())
@@ -108,7 +120,9 @@
             take(page);
             if (page.hasMore && !page.entries.empty())
                 return list(page.entries.back().name);
-            m_position = {page.revision, page.revision};
+            m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : m_position.relistedAt};
+            m_isHistoryLost = false;
+            m_listedAt = page.revision;
             m_isListed = true;
             m_handlers.listed(m_names);
             m_changedAt = std::chrono::steady_clock::now();
@@ -139,8 +153,8 @@
             if (round != m_round)
                 return;
             if (page.outcome == edges::StoreOutcome::HistoryGone) {
-                m_isListed = false;
-                return list({});
+                m_isHistoryLost = true;
+                return listAgain();
             }
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
@@ -197,6 +211,8 @@
     boost::asio::steady_timer m_timer;
     std::vector<std::string> m_names;
     core::FeedPosition m_position;
+    std::uint64_t m_listedAt = 0; ///< Store revision of the latest whole list.
+    bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
     std::uint64_t m_newsAt = 0; ///< Others know of a change there.
     core::Duration m_sparing = core::Duration(0);
     std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -21,12 +21,12 @@
         calls.push_back({revision, std::move(done)});
     }
 
-    void answer(const Entries &entries, std::uint64_t revision)
+    void answer(const Entries &entries, std::uint64_t revision, edges::StoreOutcome outcome = edges::StoreOutcome::Ok)
     {
         REQUIRE_FALSE(calls.empty());
         const auto call = std::move(calls.front());
         calls.erase(calls.begin());
-        call.done({edges::StoreOutcome::Ok, entries, revision, false, {}});
+        call.done({outcome, entries, revision, false, {}});
     }
 
     struct Call
@@ -128,3 +128,27 @@
     following.run();
     CHECK(following.values == std::map<std::string, int>{{"a", 3}});
 }
+
+TEST_CASE("When the store has dropped history, those who relied on another daemon's watch list anew as well")
+{
+    Listed watching(true);
+    watching.feed.answer({}, 20); // The watch heard nothing, although b came at 15.
+    watching.run();
+    Listed following(false);
+    following.watcher.told(watching.watcher.position());
+    watching.feed.answer({}, 0, edges::StoreOutcome::HistoryGone);
+    watching.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
+    watching.run();
+    CHECK(watching.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
+
+    following.watcher.told(watching.watcher.position());
+    following.run();
+    REQUIRE(following.feed.calls.size() == 1);
+    CHECK(following.feed.calls.front().revision == 0); // A list, since a watch from 20 on would not show b.
+    following.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
+    following.run();
+    CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
+    following.watcher.told(watching.watcher.position());
+    following.run();
+    CHECK(following.feed.calls.empty());
+}
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -81,6 +81,7 @@
 struct FeedPosition {
   1: i64 changedAt,
   2: i64 completeTo,
+  3: i64 relistedAt,
 }
 
 struct WatchNotice {
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -32,12 +32,13 @@
     gatewaywire::FeedPosition out;
     out.__set_changedAt(toWire(position.changedAt));
     out.__set_completeTo(toWire(position.completeTo));
+    out.__set_relistedAt(toWire(position.relistedAt));
     return out;
 }
 
 core::FeedPosition fromWire(const gatewaywire::FeedPosition &position) noexcept
 {
-    return {fromWire(position.changedAt), fromWire(position.completeTo)};
+    return {fromWire(position.changedAt), fromWire(position.completeTo), fromWire(position.relistedAt)};
 }
 
 /// Puts each kind of message into its field of the datagram.
