Retry the configuration's feed by itself while a daemon is turned away

Since daemons follow others, one that is turned away may have a failed call for the configuration and none for targets; retries of the former doubled to 4 s, in the belief that the latter would wake it.

Ruled out: a lost notice (the daemon's own call was pending, news was known).

Change: retries at most 0.6 s apart.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -27,6 +27,15 @@
                                           ///< was missed is in force 3 s after an outage's end.
 };
 
+/// Of the configuration. In an outage the watch of the targets usually finds out first that the store is back and wakes
+/// this one; but a daemon that follows may have no call for targets under way, so this one can't wait much longer.
+inline FeedTiming configFeedTiming()
+{
+    FeedTiming timing;
+    timing.retryMax = std::chrono::milliseconds(600);
+    return timing;
+}
+
 /// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
 /// another daemon told of; lists again when history was lost. Single-threaded, on the feed's io_context.
 template<typename Value>
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds timerStep(50);
 /// Between two tries to enter this daemon into the platform's registry.
 constexpr std::chrono::milliseconds enterRetry(500);
-/// The watch of the configuration leaves it to that of the targets to find out when the store is back.
-constexpr std::chrono::milliseconds configRetryMax(4000);
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
@@ -42,13 +40,6 @@
     return "unknown";
 }
 
-FeedTiming configTiming()
-{
-    FeedTiming timing;
-    timing.retryMax = configRetryMax;
-    return timing;
-}
-
 } // namespace
 
 GatewayControl::GatewayControl(const edges::GatewaySettings &settings, const PlatformMaker &makePlatform,
@@ -69,7 +60,7 @@
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
                  }},
-                configTiming())
+                configFeedTiming())
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
                     [this](const std::vector<std::string> &names) {
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -40,7 +40,8 @@
 /// A watcher that has listed {a: 1} at revision 10.
 struct Listed
 {
-    explicit Listed(bool isWatching)
+    explicit Listed(bool isWatching, const daemon::FeedTiming &timing = shortPauses())
+        : watcher(context, feed, handlers(), timing)
     {
         watcher.setWatching(isWatching);
         watcher.start();
@@ -54,28 +55,30 @@
         context.run_for(20ms);
     }
 
-    static daemon::FeedTiming timing()
+    static daemon::FeedTiming shortPauses()
     {
         daemon::FeedTiming timing;
         timing.pause = 1ms;
         return timing;
     }
 
+    daemon::FeedWatcher<int>::Handlers handlers()
+    {
+        return {[this](const edges::FeedEntry<int> &entry) {
+                    if (entry.value)
+                        values[entry.name] = *entry.value;
+                    else
+                        values.erase(entry.name);
+                },
+                [](const auto &) {},
+                [](bool, const std::string &) {},
+                {}};
+    }
+
     boost::asio::io_context context;
     FakeFeed feed;
     std::map<std::string, int> values;
-    daemon::FeedWatcher<int> watcher{context,
-                                     feed,
-                                     {[this](const edges::FeedEntry<int> &entry) {
-                                          if (entry.value)
-                                              values[entry.name] = *entry.value;
-                                          else
-                                              values.erase(entry.name);
-                                      },
-                                      [](const auto &) {},
-                                      [](bool, const std::string &) {},
-                                      {}},
-                                     timing()};
+    daemon::FeedWatcher<int> watcher;
 };
 
 } // namespace
@@ -152,3 +155,25 @@
     following.run();
     CHECK(following.feed.calls.empty());
 }
+
+TEST_CASE("A daemon that the store turns away asks again soon enough, though no other feed wakes it")
+{
+    // Once the store takes its calls again, it has 2 s to know of a change; news and answers take some of it.
+    constexpr core::Duration mostBetweenCalls = 1s;
+    const auto timing = GENERATE(daemon::FeedTiming(), daemon::configFeedTiming());
+    Listed following(false, timing);
+    following.watcher.told({30, 30});
+    const auto start = std::chrono::steady_clock::now();
+    auto lastCall = start;
+    core::Duration longest = 0ms;
+    while (std::chrono::steady_clock::now() - start < 5s) {
+        following.run();
+        if (following.feed.calls.empty())
+            continue;
+        longest = std::max<core::Duration>(longest, std::chrono::steady_clock::now() - lastCall);
+        lastCall = std::chrono::steady_clock::now();
+        following.feed.answer({}, 0, edges::StoreOutcome::Refused);
+    }
+    CHECK(longest <= mostBetweenCalls);
+    CHECK(lastCall - start > 3s);
+}
