Bound what targets and callers may send, and answer what has arrived

Cause, each found by a test that failed first: - An idle connection was closed when its timer had expired, although a request had arrived on it: a process that runs late sees the timer first. Ruled out: the configuration change beside it (limits that are set again reach new requests only) and the bound on connections. - A drain closed kept connections with an unread request and reset those that waited to be accepted. - A declared length of 10^11 bytes ended the process with bad_alloc: Beast reserves the length before its limit applies. - The client's read buffer was unbounded: a chunk size, an extension or a trailer without end grew it until the deadline. - A late copy of a rejection on a kept connection passed for the response to the repeated request. - A close left unsent bytes to the kernel, which delivered them after a cut had healed. - A request was handled although its caller had left before it was read; one that wasn't sent yet couldn't be cancelled. - idleLifetime() overflowed on a large Keep-Alive timeout.

Change: idle connections are closed only if nothing can be read; drain() accepts what waits, and gives new connections half a second; declared lengths are checked after the header; one bound for the read buffer and one for the bodies of all unfinished responses; ExchangeOptions has reusesConnections and arrivalTimeout (TCP_USER_TIMEOUT, and a reset on close); cancelUnsent().

--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -37,6 +37,7 @@
     core::Duration connectTimeout = core::Duration(std::chrono::milliseconds(250));
     std::uint32_t headerBytes = 64 * 1024; ///< Largest accepted response header.
     std::uint64_t bodyBytes = 16ULL * 1024 * 1024; ///< Largest accepted response body.
+    std::uint64_t totalBodyBytes = 48ULL * 1024 * 1024; ///< Of the unfinished responses of all exchanges.
     std::size_t idleConnections = 8; ///< Connections kept open per peer.
 
     bool operator==(const ClientLimits &) const = default;
@@ -53,12 +54,22 @@
     core::Duration maxIdleTime = core::Duration(std::chrono::seconds(60));
     /// Accepts a response that is delimited by an orderly close of the connection instead of a length.
     bool acceptsCloseDelimited = false;
+    /// Whether an idle connection may be used. A request that repeats an earlier one, with the same echoed header,
+    /// needs a new one: a late copy of the earlier response would pass for its own.
+    bool reusesConnections = true;
+    /// Within this time, and within `timeout`, the request arrives at the peer's host or is withdrawn: bytes that the
+    /// network has held up are not sent again afterwards, even if this process is stopped or killed meanwhile.
+    std::optional<core::Duration> arrivalTimeout;
 
     bool operator==(const ExchangeOptions &) const = default;
 };
 
 /// HTTP/1.1 client with persistent connections. Not thread-safe: use it on its io_context only.
 ///
+/// An exchange that ends without a complete response resets its connection, which withdraws the bytes that have not
+/// arrived yet. Bytes that form no response end the exchange at the limits, or at its timeout, however slowly they
+/// come.
+///
 /// A request is sent at most once, and the outcome tells whether the peer may have received it. By default a response
 /// that is delimited only by the close of the connection counts as truncated, since the two can't be told apart.
 class Client
@@ -80,6 +91,8 @@
     /// Closes the connection of the exchange. Its callback is still called, with the outcome so far. Unknown ids are
     /// ignored.
     void cancel(ExchangeId id);
+    /// As cancel(), unless sending the request has begun.
+    void cancelUnsent(ExchangeId id);
     /// Number of open connections to all peers, including idle ones.
     std::size_t connections() const noexcept;
 
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -73,8 +73,9 @@
     std::uint16_t port() const;
     /// From now on each response closes its connection, so that callers reconnect, possibly to another instance.
     void disableKeepAlive();
-    /// Closes the listening socket and every idle connection. The other connections close after the response to their
-    /// current request.
+    /// Closes the listening socket and every idle connection. Connections on which a request has arrived, though it may
+    /// not have been read yet, close after its response. Those that haven't brought a request yet, including the ones
+    /// that wait to be accepted, get half a second for it.
     void drain();
     /// Number of open connections. Thread-safe.
     std::size_t connections() const noexcept;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <charconv>
 #include <deque>
 #include <map>
@@ -50,10 +52,27 @@
     const auto at = header.find("timeout=");
     if (at == std::string_view::npos)
         return maxKeepAlive;
-    int seconds = 0;
+    std::uint32_t seconds = 0;
     const std::string_view digits = header.substr(at + 8);
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return std::min(maxKeepAlive, std::chrono::milliseconds(seconds * 800));
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec == std::errc::result_out_of_range)
+        return maxKeepAlive;
+    return std::min(maxKeepAlive, std::chrono::milliseconds(std::int64_t{seconds} * 800));
+}
+
+/// Makes the close of the connection, by this process or by its end, a reset that discards unsent bytes.
+void resetOnClose(beast::tcp_stream &stream)
+{
+    ErrorCode ignored; // Fails only on a socket that isn't connected any more.
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+/// Limits how long the kernel sends unacknowledged bytes again.
+void setSendTimeout(beast::tcp_stream &stream, std::chrono::milliseconds timeout)
+{
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    ErrorCode ignored;
+    stream.socket().set_option(UserTimeout(static_cast<int>(std::max<std::int64_t>(timeout.count(), 1))), ignored);
 }
 
 /// Whether the peer has closed an idle connection, or has sent bytes that belong to no request.
@@ -120,6 +139,7 @@
     ExchangeId nextId = 1;
     std::map<std::string, std::deque<IdleStream>> idle;
     SteadyTime nextExpiryCheck;
+    std::uint64_t bodyBytes = 0; ///< Of the unfinished responses.
     std::map<ExchangeId, std::shared_ptr<Exchange>> active;
 };
 
@@ -158,7 +178,9 @@
     void start()
     {
         const auto state = m_state.lock();
-        m_stream = state->takeIdle(m_address, m_options.maxIdleTime);
+        m_buffer.max_size(state->limits.headerBytes + readAheadBytes);
+        if (m_options.reusesConnections)
+            m_stream = state->takeIdle(m_address, m_options.maxIdleTime);
         if (m_stream)
             return write();
         const auto endpoint = internal::parseAddress(m_address);
@@ -182,13 +204,28 @@
 
     void cancel()
     {
-        if (m_stream)
-            m_stream->close();
+        if (!m_stream)
+            return;
+        resetOnClose(*m_stream);
+        m_stream->close();
     }
 
+    bool isSending() const noexcept { return m_isSending; }
+
 private:
+    /// Beyond the header: at least a line of chunked coding.
+    static constexpr std::size_t readAheadBytes = 64 * 1024UL;
+
     void write()
     {
+        m_isSending = true;
+        if (m_options.arrivalTimeout) {
+            const auto left = m_deadline - std::chrono::steady_clock::now();
+            resetOnClose(*m_stream);
+            setSendTimeout(*m_stream,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(
+                               std::min<SteadyTime::duration>(left, *m_options.arrivalTimeout)));
+        }
         m_stream->expires_at(m_deadline);
         beast::http::async_write(*m_stream, m_message, [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
             if (error)
@@ -206,13 +243,46 @@
         m_parser.emplace();
         m_parser->header_limit(state->limits.headerBytes);
         m_parser->body_limit(state->limits.bodyBytes);
-        beast::http::async_read(
-            *m_stream, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                if (error)
-                    return self->finish(bytes == 0 ? ExchangeOutcome::NoResponse : ExchangeOutcome::TruncatedResponse,
-                                        error.message());
-                self->responseRead();
-            });
+        m_hasReceived = false;
+        readSome();
+    }
+
+    void readSome()
+    {
+        beast::http::async_read_some(*m_stream, m_buffer, *m_parser,
+                                     [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                         self->m_hasReceived = self->m_hasReceived || bytes != 0;
+                                         self->someRead(error);
+                                     });
+    }
+
+    void someRead(ErrorCode error)
+    {
+        if (error)
+            return finish(m_hasReceived ? ExchangeOutcome::TruncatedResponse : ExchangeOutcome::NoResponse,
+                          error.message());
+        const auto state = m_state.lock();
+        if (!state)
+            return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
+        if (m_parser->is_header_done() && !m_parser->eager()) {
+            // The parser would allocate the declared length at once.
+            if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
+                return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
+            m_parser->eager(true);
+        }
+        countBody(*state, m_parser->get().body().size());
+        if (state->bodyBytes > state->limits.totalBodyBytes)
+            return finish(ExchangeOutcome::TruncatedResponse, "the unfinished responses exceed their limit");
+        if (!m_parser->is_done())
+            return readSome();
+        countBody(*state, 0);
+        responseRead();
+    }
+
+    /// Counts this exchange's share of the bytes in unfinished responses.
+    void countBody(Client::State &state, std::uint64_t bytes)
+    {
+        state.bodyBytes += bytes - std::exchange(m_countedBytes, bytes);
     }
 
     void responseRead()
@@ -244,15 +314,16 @@
     void finish(ExchangeOutcome outcome, const std::string &detail)
     {
         // Never reuse a connection with an unfinished exchange: the next request could get the late response.
-        if (m_stream)
-            m_stream->close();
+        cancel();
         report({outcome, {}, detail});
     }
 
     void report(ExchangeResult result)
     {
-        if (const auto state = m_state.lock())
+        if (const auto state = m_state.lock()) {
+            countBody(*state, 0);
             state->active.erase(m_id);
+        }
         if (const auto done = std::exchange(m_done, nullptr))
             done(std::move(result));
     }
@@ -263,6 +334,9 @@
     ExchangeOptions m_options;
     SteadyTime m_deadline;
     int m_unrelatedResponses = 0;
+    bool m_isSending = false;
+    bool m_hasReceived = false; ///< Bytes of the current response.
+    std::uint64_t m_countedBytes = 0; ///< In State::bodyBytes.
     Client::Callback m_done;
     Message m_message;
     Stream m_stream;
@@ -303,6 +377,13 @@
         std::shared_ptr(found->second)->cancel();
 }
 
+void Client::cancelUnsent(ExchangeId id)
+{
+    const auto found = m_state->active.find(id);
+    if (found != m_state->active.end() && !found->second->isSending())
+        std::shared_ptr(found->second)->cancel();
+}
+
 std::size_t Client::connections() const noexcept
 {
     std::size_t count = m_state->active.size();
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -3,6 +3,7 @@
 #include "addresses.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -22,6 +23,9 @@
 
 class Connection;
 
+/// A drained server waits this long for the first request of a connection that it has just accepted.
+constexpr std::chrono::milliseconds newConnectionGrace(500);
+
 } // namespace
 
 struct Server::State : std::enable_shared_from_this<Server::State>
@@ -35,6 +39,7 @@
     }
 
     void accept();
+    void acceptPending();
     void forEachConnection(const std::function<void(Connection &)> &action);
 
     asio::io_context &context;
@@ -63,6 +68,7 @@
     Connection(StatePointer state, tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
+        , m_idleTimer(m_state->context)
         , m_buffer(m_state->limits.headerBytes + 8 * 1024)
     {
         ErrorCode ignored;
@@ -84,26 +90,37 @@
     /// Waits for the first byte of the next request, at most for the idle timeout.
     void awaitRequest()
     {
-        if (m_state->isDraining)
-            return close();
         m_phase = Phase::Idle;
         if (m_buffer.size() != 0)
             return readRequest();
-        m_stream.expires_after(m_state->limits.idleTimeout);
-        m_stream.async_read_some(m_buffer.prepare(4096),
-                                 [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                                     if (error)
-                                         return self->close();
-                                     self->m_buffer.commit(bytes);
-                                     self->readRequest();
-                                 });
+        if (m_state->isDraining && m_hasServed && !hasInput())
+            return close();
+        limitIdleTime(m_state->isDraining ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
+                                          : m_state->limits.idleTimeout);
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            if (self->m_phase != Phase::Idle)
+                return;
+            if (error)
+                return self->close();
+            self->readRequest();
+        });
     }
 
-    bool isIdle() const noexcept { return m_phase == Phase::Idle; }
+    /// Closes the connection unless a request has arrived on it or may be about to, on a new connection.
+    void drain()
+    {
+        if (m_phase != Phase::Idle)
+            return;
+        if (!m_hasServed)
+            limitIdleTime(std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout));
+        else if (!hasInput())
+            close();
+    }
 
     void close()
     {
         m_phase = Phase::Closed;
+        m_idleTimer.cancel();
         ErrorCode ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
@@ -139,28 +156,75 @@
 
 private:
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
+    enum class Input { None, Bytes, Closed };
+
+    /// What can be read from the socket now.
+    Input input()
+    {
+        char byte = 0;
+        ErrorCode error;
+        m_stream.socket().non_blocking(true, error);
+        m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (!error)
+            return Input::Bytes;
+        return error == asio::error::would_block ? Input::None : Input::Closed;
+    }
+    bool hasInput() { return m_buffer.size() != 0 || input() == Input::Bytes; }
+
+    /// Closes the connection when it has been idle for `timeout`. A process that runs late finds the timer expired
+    /// although a request has arrived in time, so that is checked first.
+    void limitIdleTime(core::Duration timeout)
+    {
+        m_idleTimer.expires_after(timeout);
+        m_idleTimer.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (!error && self->m_phase == Phase::Idle && !self->hasInput())
+                self->close();
+        });
+    }
 
     void readRequest()
     {
         m_phase = Phase::Reading;
+        m_idleTimer.cancel();
         m_parser.emplace();
         m_parser->header_limit(m_state->limits.headerBytes);
         m_parser->body_limit(m_state->limits.bodyBytes);
         m_stream.expires_after(m_state->limits.readTimeout);
+        beast::http::async_read_header(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](ErrorCode error, std::size_t) { self->headerRead(error); });
+    }
+
+    void headerRead(ErrorCode error)
+    {
+        if (error)
+            return readFailed(error);
+        if (const std::string fault = framingError(); !fault.empty())
+            return reject(400, fault);
+        // The parser would allocate the declared length at once.
+        if (m_parser->content_length().value_or(0) > m_state->limits.bodyBytes)
+            return readFailed(beast::http::error::body_limit);
         beast::http::async_read(
             m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](ErrorCode error, std::size_t) { self->requestRead(error); });
+            [self = shared_from_this()](ErrorCode bodyError, std::size_t) { self->requestRead(bodyError); });
     }
 
-    void requestRead(ErrorCode error)
+    void readFailed(ErrorCode error)
     {
         if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted
             || error == beast::http::error::partial_message || error == asio::error::connection_reset)
             return close();
+        reject(statusFor(error), error.message());
+    }
+
+    void requestRead(ErrorCode error)
+    {
         if (error)
-            return reject(statusFor(error), error.message());
-        if (const std::string fault = framingError(); !fault.empty())
-            return reject(400, fault);
+            return readFailed(error);
+        // The caller may have left while the request waited to be read.
+        if (input() == Input::Closed)
+            return close();
+        m_hasServed = true;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
         m_keepAlive = m_parser->get().keep_alive();
@@ -224,11 +288,7 @@
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange](ErrorCode error) {
             if (error || exchange != self->m_exchangeId || self->m_phase != Phase::Handling)
                 return;
-            char byte = 0;
-            ErrorCode peekError;
-            self->m_stream.socket().non_blocking(true, peekError);
-            self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-            if (!peekError || peekError == asio::error::would_block)
+            if (self->input() != Input::Closed)
                 return;
             self->close();
             self->m_state->handler.callerDisconnected(exchange);
@@ -289,12 +349,14 @@
 
     StatePointer m_state;
     beast::tcp_stream m_stream;
+    asio::steady_timer m_idleTimer;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::string m_peer;
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
+    bool m_hasServed = false; ///< A request has been read on this connection.
 };
 
 } // namespace
@@ -310,6 +372,19 @@
     });
 }
 
+/// Accepts the connections that callers have opened already: closing the listening socket would reset them.
+void Server::State::acceptPending()
+{
+    ErrorCode error;
+    acceptor.non_blocking(true, error);
+    while (!error && open.size() < limits.connections) {
+        tcp::socket socket(context);
+        acceptor.accept(socket, error);
+        if (!error)
+            std::make_shared<Connection>(shared_from_this(), std::move(socket))->awaitRequest();
+    }
+}
+
 void Server::State::forEachConnection(const std::function<void(Connection &)> &action)
 {
     std::vector<std::shared_ptr<Connection>> all;
@@ -374,12 +449,10 @@
 {
     disableKeepAlive();
     m_state->isDraining = true;
+    m_state->acceptPending();
     ErrorCode ignored;
     m_state->acceptor.close(ignored);
-    m_state->forEachConnection([](Connection &connection) {
-        if (connection.isIdle())
-            connection.close();
-    });
+    m_state->forEachConnection([](Connection &connection) { connection.drain(); });
 }
 
 std::size_t Server::connections() const noexcept
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
 #include <thread>
 
 using namespace sardinehinge;
@@ -68,9 +69,9 @@
 class RunningServer
 {
 public:
-    RunningServer()
+    explicit RunningServer(const http::ServerLimits &limits = smallLimits())
         : handler(context)
-        , server(context, handler, smallLimits())
+        , server(context, handler, limits)
     {
         REQUIRE(core::errorIn(server.listen("127.0.0.1:0")) == nullptr);
         m_thread = std::thread([this] {
@@ -85,6 +86,17 @@
         m_thread.join();
     }
 
+    /// Keeps the server from running for `length`, and returns once this has begun.
+    void stall(std::chrono::milliseconds length)
+    {
+        auto begun = std::make_shared<std::promise<void>>();
+        boost::asio::post(context, [begun, length] {
+            begun->set_value();
+            std::this_thread::sleep_for(length);
+        });
+        begun->get_future().wait();
+    }
+
     boost::asio::io_context context{1};
     EchoHandler handler;
     http::Server server;
@@ -187,6 +199,7 @@
         {"nonsense\r\n\r\n", "400"},
         {"GET / HTTP/3.0\r\nHost: x\r\n\r\n", "400"},
         {start + "Content-Length: 5000\r\n\r\n", "413"},
+        {start + "Content-Length: 99999999999999\r\n\r\n", "413"},
         {start + "X: " + std::string(4000, 'x') + "\r\n\r\n", "431"},
     }));
     INFO(request.substr(0, 120));
@@ -255,3 +268,67 @@
     CHECK(busy.receive("slow\n").find("slow") != std::string::npos);
     CHECK(idle.receive().empty());
 }
+
+TEST_CASE("A request that arrived in time is answered although the server ran after the idle timeout")
+{
+    http::ServerLimits limits = smallLimits();
+    limits.idleTimeout = std::chrono::milliseconds(200);
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.receive("/first").find("/first") != std::string::npos);
+    running.stall(std::chrono::milliseconds(400));
+    caller.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(caller.receive("/second").find("/second") != std::string::npos);
+    // Without a request, the connection is closed.
+    CHECK(caller.receive().empty());
+}
+
+TEST_CASE("A drain answers every request that has arrived, whether it was read or not")
+{
+    struct Case
+    {
+        const char *name;
+        bool isKept; ///< The connection has served a request before.
+        std::chrono::milliseconds sentAfter; ///< After the drain has begun.
+    };
+    const auto [name, isKept, sentAfter] = GENERATE(values<Case>({
+        {"kept connection, request not read yet", true, std::chrono::milliseconds(0)},
+        {"connection waiting to be accepted, request sent", false, std::chrono::milliseconds(0)},
+        {"connection waiting to be accepted, request follows", false, std::chrono::milliseconds(250)},
+    }));
+    INFO(name);
+    RunningServer running;
+    std::unique_ptr<RawCaller> caller;
+    if (isKept) {
+        caller = std::make_unique<RawCaller>(running.server.port());
+        caller->send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(caller->receive("/first").find("/first") != std::string::npos);
+    }
+    const std::uint16_t port = running.server.port();
+    boost::asio::post(running.context, [&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        running.server.drain();
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    if (!isKept)
+        caller = std::make_unique<RawCaller>(port);
+    std::this_thread::sleep_for(sentAfter);
+    caller->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string response = caller->receive();
+    CHECK(response.find("/last") != std::string::npos);
+    CHECK(response.find("Connection: close") != std::string::npos);
+    CHECK(waitFor([&] { return running.server.connections() == 0; }));
+}
+
+TEST_CASE("A request whose caller left before it was read isn't handled")
+{
+    RunningServer running;
+    RawCaller caller(running.server.port());
+    running.stall(std::chrono::milliseconds(200));
+    caller.send("GET /left HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.close();
+    CHECK(waitFor([&] { return running.server.connections() == 0; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    CHECK(running.handler.handled == 0);
+}
