--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -51,6 +51,9 @@
     Duration planInterval = std::chrono::milliseconds(500);
     /// Time between two announcements, for each peer. At about 250 bytes each they use a fifth of a link of 10 Mbit/s.
     Duration announcementIntervalPerPeer = std::chrono::milliseconds(1);
+    /// Fences of one term, one for each order. A controller that has used them up steps down, so that a new term
+    /// starts.
+    std::uint64_t fencesPerTerm = 1'000'000;
     double loadDecayFactor = 0.75; ///< Share of the key load that is kept from one planning period to the next.
 
     bool operator==(const OwnershipTiming &) const = default;
@@ -200,7 +203,8 @@
     KeyRange range;
     std::uint64_t fence = 0;
     Duration lease = 0ms; ///< Of a grant.
-    Duration timeout = 0ms;
+    Duration timeout = 0ms; ///< For the target's response.
+    Duration arrivalTimeout = 0ms; ///< The adapter withdraws an order that hasn't arrived at the target by then.
     std::string handover; ///< Handover token of the previous owner, for a grant.
 };
 
@@ -247,6 +251,8 @@
 /// every change is a conditional write of that record. These rules keep each key with at most one owner:
 /// - A new owner is recorded before it is granted the range, so that a later controller knows of every grant.
 /// - Fences rise with the term, so a target that has accepted a controller's grant rejects those of earlier ones.
+/// - No two orders have the same fence. A renewal that reaches another process at the owner's address is therefore a
+///   grant under a higher fence, never a repetition of the owner's.
 /// - A range is taken from a target only after the target confirmed a release, after the longest lease that any
 ///   controller may have given it has expired, or when the registry lists a later incarnation of the target.
 /// - A controller that was paused for long enough to be replaced reads the store before it sends any order.
@@ -289,7 +295,6 @@
     {
         OwnedRange owned;
         std::uint64_t initialFence = 0; ///< Of the first grant to this incarnation of the owner.
-        bool needsNewFence = false; ///< An order was lost: another incarnation may receive the next one.
         Phase phase = Phase::Free;
         bool isInherited = false; ///< Recorded by an earlier controller, not accepted by the owner in this term yet.
         Time leaseExpiry = 0ms; ///< The owner's lease has expired by then at the latest.
@@ -372,7 +377,7 @@
     const RegisteredTarget *findTarget(const std::string &id) const;
     std::vector<RangeCandidate> candidates() const;
     std::map<std::string, double> loadByTarget() const;
-    std::uint64_t nextFence() noexcept { return m_term * fencesPerTerm + ++m_fenceCount; }
+    std::uint64_t nextFence() noexcept { return m_term * m_timing.fencesPerTerm + ++m_fenceCount; }
     /// Longest time from sending a grant with this lease until the target's lease has expired.
     Duration maxHoldTime(Duration lease) const noexcept;
     Duration maxInheritedLease() const noexcept;
@@ -382,9 +387,6 @@
     void announceIfChanged();
     void logEvent(std::uint32_t event, std::string detail);
 
-    /// Upper bound of the grants and releases of a controller in one term.
-    static constexpr std::uint64_t fencesPerTerm = 1'000'000;
-
     std::string m_service;
     DaemonIdentity m_self;
     OwnershipTiming m_timing;
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// More than a controller uses while it processes one event.
+constexpr std::uint64_t reservedFences = 5000;
+
 void mix(std::uint64_t &hash, const std::string &text) noexcept
 {
     for (const char c : text) {
@@ -47,6 +50,8 @@
     m_now = now;
     if (m_role == Role::Controller && now - m_storeConfirmedAt > m_timing.maxAuthorityWithoutStore)
         stepDown("the store has not confirmed this controller for too long");
+    if (m_role == Role::Controller && m_fenceCount + reservedFences > m_timing.fencesPerTerm)
+        stepDown("the fences of this term are used up");
     std::visit([this](const auto &concrete) { on(concrete); }, event);
     if (m_role == Role::Controller) {
         updatePredecessors();
@@ -111,6 +116,9 @@
 {
     m_isReadPending = false;
     if (m_role == Role::Controller) {
+        // Revisions only rise: the store was read before this controller's latest write.
+        if (event.record && event.revision < m_revision)
+            return;
         if (event.record && isOwnRecord(*event.record)) {
             m_storeConfirmedAt = std::max(m_storeConfirmedAt, event.requestedAt);
             // The response to a write was lost: the record shows whether the write took effect.
@@ -195,6 +203,8 @@
         on(OwnershipWritten{event.revision, m_storeConfirmedAt});
         return;
     }
+    if (m_role == Role::Controller && event.revision < m_revision)
+        return; // Of an abandoned write; a later one has taken effect.
     if (m_role == Role::Controller && isOwnRecord(event.record)) {
         resolveOwnWrite(event.record, event.revision);
         return;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -156,8 +156,9 @@
 {
     const std::string address = addressOf(assignment.owned.owner.id);
     const std::uint64_t id = m_nextOrderId++;
-    if (std::exchange(assignment.needsNewFence, false))
-        assignment.owned.fence = nextFence();
+    // No two grants share a fence. A renewal may reach another process that has started at the target's address, and
+    // must not grant it keys under a fence that the owner held them with.
+    assignment.owned.fence = nextFence();
     m_pendingOrders[id]
         = {false, assignment.owned.owner, assignment.owned.range, assignment.owned.fence, assignment.leaseExpiry};
     assignment.lastOrderAt = m_now;
@@ -167,7 +168,7 @@
         assignment.unansweredSince = m_now;
     m_effects.emplace_back(RangeOrder{id, false, assignment.owned.owner.id, address, assignment.owned.range,
                                       assignment.owned.fence, m_storedRecord.lease, m_timing.orderTimeout,
-                                      assignment.handoverToken});
+                                      m_timing.orderTimeout, assignment.handoverToken});
 }
 
 void RangeControl::startRelease(RangeAssignment &assignment, const std::string &destination)
@@ -186,8 +187,16 @@
     logEvent(events::rangeReleasing,
              text(assignment.owned.range) + " " + assignment.owned.owner.id + " to "
                  + (destination.empty() ? std::string("a target that is not chosen yet") : destination));
-    m_effects.emplace_back(RangeOrder{
-        id, true, assignment.owned.owner.id, address, assignment.owned.range, fence, 0ms, m_timing.releaseTimeout, {}});
+    m_effects.emplace_back(RangeOrder{id,
+                                      true,
+                                      assignment.owned.owner.id,
+                                      address,
+                                      assignment.owned.range,
+                                      fence,
+                                      0ms,
+                                      m_timing.releaseTimeout,
+                                      m_timing.orderTimeout,
+                                      {}});
 }
 
 void RangeControl::startExpiry(RangeAssignment &assignment, const std::string &why)
@@ -252,13 +261,9 @@
         if (order.fence != assignment.owned.fence)
             return; // This order arrived after a later one of this controller.
         // A later controller may have granted the range. No orders are sent until the store confirms this controller.
-        assignment.owned.fence = nextFence();
         assignment.nextOrderAt = m_now;
         m_confirmationRequiredSince = m_now;
-    } else if (end == OrderEndKind::Unanswered) {
-        assignment.needsNewFence = true;
-    } else {
-        assignment.needsNewFence = true;
+    } else if (end == OrderEndKind::Unreachable) {
         ++assignment.failedConnections;
         if (!hasPendingGrant(assignment))
             assignment.leaseExpiry = std::min(assignment.leaseExpiry, order.previousLeaseExpiry);
--- a/packages/core/tests/rangecontrol_test.cpp
+++ b/packages/core/tests/rangecontrol_test.cpp
@@ -69,7 +69,10 @@
         Mix{"controllers", {true, false, false, false, true}}, Mix{"store", {false, true, false, false, true}},
         Mix{"targets", {false, false, true, false, true}}, Mix{"orders", {false, false, false, true, true}},
         Mix{"controllers and targets", {true, false, true, false, true}},
-        Mix{"store and targets", {false, true, true, true, true}}, Mix{"all", {true, true, true, true, true}});
+        Mix{"store and targets", {false, true, true, true, true}}, Mix{"all", {true, true, true, true, true}},
+        Mix{"targets reborn at their addresses", {false, false, false, false, true, true}},
+        Mix{"orders held up by cut links", {false, false, true, false, true, false, true}},
+        Mix{"all, with rebirths and cut links", {true, true, true, true, true, true, true}});
     DYNAMIC_SECTION(name)
     {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
@@ -86,6 +89,55 @@
     }
 }
 
+TEST_CASE("A process that takes over an owner's address gets no key under a fence of that owner")
+{
+    struct Case
+    {
+        const char *name;
+        bool keepsId;
+        Duration listedAfter;
+    };
+    const auto [name, keepsId, listedAfter]
+        = GENERATE(Case{"same id, listed at once", true, 50ms}, Case{"same id, listed late", true, 1500ms},
+                   Case{"another id, listed at once", false, 50ms}, Case{"another id, listed late", false, 1500ms});
+    DYNAMIC_SECTION(name)
+    {
+        RangeWorld world(GENERATE(range(1, 6)), {});
+        world.run(5s, true);
+        world.rebearTarget(world.holders().front(), keepsId, listedAfter);
+        world.run(10s, true);
+        INFO(world.trace());
+        for (const std::string &violation : world.violations())
+            FAIL(violation);
+        CHECK(world.servedShare() == 1.0);
+    }
+}
+
+TEST_CASE("The checker reports a grant that repeats the fence of another process")
+{
+    RangeWorld world(1, {});
+    world.run(4s, true);
+    world.forceGrant("target0", {0, 0}, 7);
+    world.rebearTarget("target0", true, 50ms);
+    world.forceGrant("target0", {0, 0}, 7);
+    CHECK_FALSE(world.violations().empty());
+}
+
+TEST_CASE("A controller that has used up the fences of its term hands over without a gap")
+{
+    OwnershipTiming timing;
+    timing.fencesPerTerm = 5200;
+    RangeWorld world(1, {}, 5, 6, timing);
+    world.run(5s, true);
+    world.takeLongestGap();
+    const std::uint64_t term = world.term();
+    world.run(60s, true);
+    CHECK(world.term() > term);
+    CHECK(world.violations().empty());
+    CHECK(world.takeLongestGap() <= 100ms);
+    CHECK(world.servedShare() == 1.0);
+}
+
 TEST_CASE("Keys are moved away from a busy owner that responds late to orders")
 {
     RangeWorld world(1, {});
--- a/packages/core/tests/rangerole_test.cpp
+++ b/packages/core/tests/rangerole_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <variant>
 
 using namespace sardinehinge::core;
 
@@ -41,3 +42,51 @@
     CHECK(delay >= timing.controllerTimeout + earliestRank * timing.claimDelayPerRank);
     CHECK(delay <= timing.controllerTimeout + latestRank * timing.claimDelayPerRank + 20ms);
 }
+
+TEST_CASE("A read that the store answered before the controller's latest write changes nothing")
+{
+    const bool isOwnRecord = GENERATE(true, false);
+    RangeControl control("service", {"self", 1}, 100s);
+    RegisteredTarget target;
+    target.identity = {"target", 1};
+    target.service = "service";
+    target.address = "target";
+    target.slots = 6;
+    Time now = 100s;
+    std::uint64_t revision = 100;
+    OwnershipRecord claimed;
+    std::uint64_t expectedRevision = 0;
+    // Answers every write at once, and every read until the keys are assigned.
+    const auto advance = [&](const ControlEvent &event) {
+        std::vector<ControlEvent> events{event};
+        while (!events.empty()) {
+            const auto effects = control.handle(events.front(), now);
+            events.erase(events.begin());
+            for (const ControlEffect &effect : effects) {
+                if (const auto *write = std::get_if<WriteOwnership>(&effect)) {
+                    if (claimed.term == 0)
+                        claimed = write->record;
+                    expectedRevision = write->expectedRevision;
+                    events.emplace_back(OwnershipWritten{++revision, now});
+                } else if (std::holds_alternative<ReadOwnership>(effect) && revision == 100) {
+                    events.emplace_back(OwnershipRead{std::nullopt, 0, now});
+                }
+            }
+        }
+    };
+    advance(ControlTargets{{target}});
+    for (; revision < 102 && now < 120s; now += 50ms)
+        advance(ControlTick{});
+    REQUIRE(control.isController());
+    REQUIRE(revision == 102);
+    OwnershipRecord older = claimed;
+    if (!isOwnRecord)
+        older.controller = "former";
+    advance(OwnershipRead{older, 101, now - 100ms});
+    CHECK(control.isController());
+    advance(ControlPeers{{{"peer", 1, "peer", 0}}, 0}); // One more voter, so the record is written again.
+    for (const Time end = now + 5s; revision < 103 && now < end; now += 50ms)
+        advance(ControlTick{});
+    CHECK(revision == 103);
+    CHECK(expectedRevision == 102);
+}
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -10,15 +10,14 @@
 constexpr const char *serviceName = "series";
 constexpr Duration step = 10ms;
 constexpr std::uint32_t sampleStride = 1024;
-/// On the users' platform, a grant that arrives within this time after its sender was resumed has no effect. The
-/// simulation doesn't model this.
-constexpr Duration thawGrace = 300ms;
 
 } // namespace
 
-RangeWorld::RangeWorld(std::uint64_t seed, RangeFaults faults, std::size_t daemons, std::size_t targets)
+RangeWorld::RangeWorld(std::uint64_t seed, RangeFaults faults, std::size_t daemons, std::size_t targets,
+                       OwnershipTiming timing)
     : m_random(seed)
     , m_faults(faults)
+    , m_timing(timing)
     , m_now(1s)
 {
     m_daemons.resize(daemons);
@@ -48,7 +47,7 @@
 {
     Daemon &daemon = m_daemons[index];
     daemon.identity = {"daemon" + std::to_string(index), ++m_revision};
-    daemon.control = std::make_unique<RangeControl>(serviceName, daemon.identity, m_now);
+    daemon.control = std::make_unique<RangeControl>(serviceName, daemon.identity, m_now, m_timing);
     daemon.inbox.clear();
     daemon.owners = {};
     publishTargets();
@@ -71,9 +70,11 @@
 void RangeWorld::publishTargets()
 {
     std::vector<RegisteredTarget> entries;
-    for (const auto &[id, target] : m_targets) {
-        if (target.isRegistered)
-            entries.push_back(target.entry);
+    for (auto &[id, target] : m_targets) {
+        if (m_now >= target.listedFrom)
+            target.listed = target.entry;
+        if (target.isRegistered && !target.listed.identity.id.empty())
+            entries.push_back(target.listed);
     }
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         if (m_daemons[index].control != nullptr && !m_daemons[index].isCutFromStore && !m_isStoreDown)
@@ -118,6 +119,55 @@
     publishTargets();
 }
 
+void RangeWorld::rebearTarget(const std::string &id, bool keepsId, Duration listedAfter)
+{
+    Target &former = m_targets.at(id);
+    former.holds.clear();
+    former.highestFences.clear();
+    Target reborn = former;
+    reborn.entry.identity.incarnation = m_nextIncarnation++;
+    reborn.listedFrom = m_now + listedAfter;
+    if (!keepsId) {
+        reborn.entry.identity.id = "target" + std::to_string(m_targets.size());
+        reborn.listed = {};
+        former.isUp = false;
+        former.isReplaced = true;
+        schedule(2600ms, [this, id] {
+            m_targets.at(id).isRegistered = false;
+            publishTargets();
+        });
+    }
+    addTrace(id + "'s address is taken over by " + reborn.entry.identity.id + " incarnation "
+             + std::to_string(reborn.entry.identity.incarnation));
+    m_targets[reborn.entry.identity.id] = reborn;
+    schedule(listedAfter, [this] { publishTargets(); });
+}
+
+void RangeWorld::cutLink(std::size_t daemon, const std::string &target, Duration length)
+{
+    addTrace("link from " + m_daemons[daemon].identity.id + " to " + target + " is cut");
+    m_linkCutUntil[{daemon, m_targets.at(target).entry.address}] = m_now + length;
+}
+
+RangeWorld::Target *RangeWorld::targetAt(const std::string &address)
+{
+    for (auto &[id, target] : m_targets) {
+        if (target.isUp && target.entry.address == address)
+            return &target;
+    }
+    return nullptr;
+}
+
+std::optional<Duration> RangeWorld::arrivalDelay(std::size_t daemon, const Target &target, Duration arrivalTimeout)
+{
+    const auto cut = m_linkCutUntil.find({daemon, target.entry.address});
+    if (cut == m_linkCutUntil.end() || cut->second <= m_now)
+        return randomDelay(1, 8);
+    // Bytes that are held up arrive in any order after the cut, but never after the sender has withdrawn them.
+    const Duration held = cut->second - m_now + randomDelay(1, 400);
+    return held < arrivalTimeout ? std::optional(held) : std::nullopt;
+}
+
 void RangeWorld::reportLoad(const std::map<std::uint32_t, std::uint32_t> &requests)
 {
     const std::size_t index = controllerIndex();
@@ -173,6 +223,13 @@
     m_targets.at(id).holds.push_back({range, 1, m_now + 5s});
 }
 
+void RangeWorld::forceGrant(const std::string &id, const KeyRange &range, std::uint64_t fence)
+{
+    Target &target = m_targets.at(id);
+    target.highestFences.clear();
+    applyOrder(target, {0, false, id, target.entry.address, range, fence, 5s, 0ms, 0ms, {}}, m_now);
+}
+
 void RangeWorld::deliver(std::size_t index, std::uint64_t incarnation, const ControlEvent &event)
 {
     Daemon &daemon = m_daemons[index];
@@ -262,13 +319,32 @@
     }
     if (!order.isRelease) {
         const auto lease = std::chrono::duration_cast<Duration>(order.lease / target.clockRate);
-        if (arrivedAt + lease > m_now)
+        if (arrivedAt + lease > m_now) {
             remaining.push_back({order.range, order.fence, arrivedAt + lease});
+            checkFence(target, order);
+        }
     }
     target.holds = std::move(remaining);
     return true;
 }
 
+void RangeWorld::checkFence(const Target &target, const RangeOrder &grant)
+{
+    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
+        if (!grant.range.contains(key))
+            continue;
+        auto &fences = m_fences[key];
+        for (const auto &[other, fence] : fences) {
+            if (other != target.entry.identity && fence >= grant.fence)
+                m_violations.push_back("key " + std::to_string(key) + " went to " + target.entry.identity.id
+                                       + " with fence " + std::to_string(grant.fence) + "; " + other.id
+                                       + " incarnation " + std::to_string(other.incarnation) + " had it with "
+                                       + std::to_string(fence));
+        }
+        fences[target.entry.identity] = std::max(fences[target.entry.identity], grant.fence);
+    }
+}
+
 void RangeWorld::execute(std::size_t index, const RangeOrder &effect)
 {
     const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
@@ -277,30 +353,31 @@
             deliver(index, incarnation, OrderEnded{order, kind, "token"});
         });
     };
-    const auto found = m_targets.find(effect.target);
-    if (found == m_targets.end() || !found->second.isUp)
+    const Target *recipient = targetAt(effect.address);
+    if (recipient == nullptr)
         return finishOrder(OrderEndKind::Unreachable, randomDelay(1, 5));
-    if (found->second.isSilent)
+    const auto arrival = arrivalDelay(index, *recipient, effect.arrivalTimeout);
+    if (recipient->isSilent || !arrival)
         return finishOrder(OrderEndKind::Unanswered, effect.timeout);
-    const TargetIdentity identity = found->second.entry.identity;
+    const TargetIdentity identity = recipient->entry.identity;
     addTrace(m_daemons[index].identity.id + (effect.isRelease ? " releases " : " grants ") + effect.target + " "
              + std::to_string(effect.range.first) + ".." + std::to_string(effect.range.last) + " fence "
              + std::to_string(effect.fence));
     const bool isLost = m_faults.orders && chance(0.2);
     const bool isLate = isLost && chance(0.5);
-    const Duration deliveryDelay = randomDelay(1, 8);
+    const Duration deliveryDelay = *arrival;
     if (isLost)
         finishOrder(OrderEndKind::Unanswered, effect.timeout);
     schedule(deliveryDelay, [this, effect, identity, isLost, isLate, finishOrder, arrivedAt = m_now + deliveryDelay] {
         const auto apply = [this, effect, identity, isLost, finishOrder, arrivedAt] {
-            Target &target = m_targets.at(effect.target);
+            Target &target = m_targets.at(identity.id);
+            // The connection ends with the process.
             if (!target.isUp || target.entry.identity != identity || target.isSilent)
                 return;
             const bool isAccepted = applyOrder(target, effect, arrivedAt);
             if (!isLost)
                 finishOrder(isAccepted ? OrderEndKind::Accepted : OrderEndKind::HigherFence,
-                            m_targets.at(effect.target).responseDelay
-                                + (effect.isRelease ? randomDelay(1, 300) : randomDelay(1, 8)));
+                            target.responseDelay + (effect.isRelease ? randomDelay(1, 300) : randomDelay(1, 8)));
         };
         if (isLate)
             schedule(randomDelay(2000, 12000), apply);
@@ -396,11 +473,17 @@
             publishTargets();
         }
     }
-    if (!m_faults.targets)
+    if (!m_faults.targets && !m_faults.rebirths && !m_faults.links)
         return;
     auto victim = m_targets.begin();
     std::advance(victim, static_cast<std::ptrdiff_t>(randomIndex(m_targets.size())));
     const std::string id = victim->first;
+    if (m_faults.links && chance(0.5))
+        cutLink(chance(0.5) ? controllerIndex() : daemon, id, randomDelay(100, 5000));
+    if (m_faults.rebirths && victim->second.isUp && chance(0.5))
+        rebearTarget(id, chance(0.5), randomDelay(50, 1500));
+    if (!m_faults.targets || victim->second.isReplaced)
+        return;
     const auto ready = std::count_if(m_targets.begin(), m_targets.end(), [](const auto &entry) {
         return entry.second.isUp && !entry.second.isSilent && !entry.second.entry.isDraining;
     });
@@ -512,8 +595,9 @@
 {
     m_faults = {};
     m_isStoreDown = false;
+    m_linkCutUntil.clear();
     for (const auto &[id, target] : m_targets) {
-        if (!target.isUp || target.isSilent || !target.isRegistered || target.entry.isDraining)
+        if (!target.isReplaced && (!target.isUp || target.isSilent || !target.isRegistered || target.entry.isDraining))
             restore(id);
     }
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -21,14 +21,18 @@
     bool targets = false; ///< Targets crash, stop responding, drain, restart under their id and register anew.
     bool orders = false; ///< Orders get no response; some take effect late.
     bool network = false; ///< Datagrams are lost.
+    bool rebirths = false; ///< Other processes start at the targets' addresses, under the same or another id.
+    bool links = false; ///< Links between daemons and targets are cut; orders sent meanwhile arrive after the cut.
 };
 
 /// Simulates daemons, a store and targets in virtual time, with random faults from a seed. Checks at every step that no
-/// two running targets hold the same key, and that each new holder of a key has a higher fence than the one before.
+/// two running targets hold the same key, that each new holder of a key has a higher fence than the one before, and
+/// that no process takes a key under a fence that another process has had it with.
 class RangeWorld
 {
 public:
-    RangeWorld(std::uint64_t seed, RangeFaults faults, std::size_t daemons = 5, std::size_t targets = 6);
+    RangeWorld(std::uint64_t seed, RangeFaults faults, std::size_t daemons = 5, std::size_t targets = 6,
+               OwnershipTiming timing = {});
 
     /// Runs for `length` of virtual time, with random faults unless `isCalm`.
     void run(Duration length, bool isCalm = false);
@@ -50,6 +54,10 @@
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     void crashTarget(const std::string &id, bool isSilent);
     void drainTarget(const std::string &id);
+    /// Ends the target's process. Another one starts at once at its address; the registry lists it after `listedAfter`.
+    void rebearTarget(const std::string &id, bool keepsId, Duration listedAfter);
+    /// Holds up orders of the daemon to the target until `length` is over.
+    void cutLink(std::size_t daemon, const std::string &target, Duration length);
     /// Delays the target's responses to orders by `delay`; the orders still take effect on arrival.
     void delayResponses(const std::string &id, Duration delay) { m_targets.at(id).responseDelay = delay; }
     /// Reports request counts by key to the controller.
@@ -58,6 +66,10 @@
     std::size_t controllerIndex() const;
     std::vector<std::string> holders() const;
     Time now() const noexcept { return m_now; }
+    /// The controller's term.
+    std::uint64_t term() const { return m_daemons[controllerIndex()].control->term(); }
+    /// Makes the target accept a grant that no controller sent, to test the checker.
+    void forceGrant(const std::string &id, const KeyRange &range, std::uint64_t fence);
     /// Makes the target hold the range without an order, to test the checker.
     void forceHold(const std::string &id, const KeyRange &range);
 
@@ -72,6 +84,9 @@
     struct Target
     {
         RegisteredTarget entry;
+        RegisteredTarget listed; ///< As the registry has it.
+        Time listedFrom = 0ms; ///< The registry has the present entry from then on.
+        bool isReplaced = false; ///< A process with another id runs at its address.
         bool isUp = true;
         bool isSilent = false; ///< Running, but receives no orders.
         bool isRegistered = true;
@@ -115,6 +130,12 @@
     void sendTo(std::size_t from, const std::string &to, const ControlEvent &event);
     ControlEvent applyWrite(const WriteOwnership &write, Time requestedAt);
     bool applyOrder(Target &target, const RangeOrder &order, Time arrivedAt);
+    /// Checks that no other process has had the keys under the grant's fence or a higher one.
+    void checkFence(const Target &target, const RangeOrder &grant);
+    /// The process that runs at the address, or nullptr.
+    Target *targetAt(const std::string &address);
+    /// When an order that is sent now arrives, or nothing if it is withdrawn before.
+    std::optional<Duration> arrivalDelay(std::size_t daemon, const Target &target, Duration arrivalTimeout);
     void startDaemon(std::size_t index);
     void publishTargets();
     void publishPeers();
@@ -126,6 +147,7 @@
 
     std::mt19937_64 m_random;
     RangeFaults m_faults;
+    OwnershipTiming m_timing;
     Time m_now = 0ms;
     std::vector<Event> m_queue;
     std::vector<Daemon> m_daemons;
@@ -135,6 +157,8 @@
     std::optional<OwnershipRecord> m_record;
     std::uint64_t m_revision = 100;
     std::uint64_t m_nextIncarnation = 1;
+    std::map<std::pair<std::size_t, std::string>, Time> m_linkCutUntil; ///< By daemon and target's address.
+    std::map<std::uint32_t, std::map<TargetIdentity, std::uint64_t>> m_fences; ///< Highest by key and process.
     std::map<std::uint32_t, std::uint64_t> m_lastFence; ///< Highest fence of a holder, by sampled key.
     std::map<std::uint32_t, std::string> m_lastHolder;
     std::map<std::uint32_t, Time> m_heldAt;
