Never send what hasn't been sent when its caller leaves

CancelSend now says that such an attempt is cancelled only while nothing of it has been sent. The test "only idempotent requests are cancelled" stated the fault; its replacement checks the exact cancellation of both kinds. A queued retry of a service without keys ended as no_owner; it ends as overloaded.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -58,6 +58,7 @@
 {
     RequestId id = 0;
     std::uint32_t attempt = 0;
+    bool isOnlyUnsent = false; ///< Leaves the attempt running if sending it to the target has begun.
 
     bool operator==(const CancelSend &) const = default;
 };
@@ -158,7 +159,8 @@
 
     Effects requestArrived(const GatewayRequest &request, Time now);
     Effects attemptFinished(const GatewayAttemptEnd &end, Time now);
-    /// Ends a request whose caller disconnected. An attempt that isn't idempotent is left running at its target.
+    /// Ends a request whose caller disconnected. What hasn't been sent yet is never sent; an attempt that isn't
+    /// idempotent is left running at its target.
     Effects callerLeft(RequestId id, Time now);
     /// Ends requests that exceeded their time limits and sends queued ones. Call it periodically.
     Effects tick(Time now);
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -434,8 +434,7 @@
     dequeue(request);
     if (request.isSent) {
         // A request that isn't idempotent continues: after a cancellation it would still be unknown whether it ran.
-        if (request.route->isIdempotent)
-            m_effects.emplace_back(CancelSend{id, request.attempts});
+        m_effects.emplace_back(CancelSend{id, request.attempts, !request.route->isIdempotent});
         if (const auto target = serviceOf(service).targets.find(request.target);
             target != serviceOf(service).targets.end())
             target->second.score.attemptDiscarded();
@@ -458,9 +457,7 @@
         Request &request = m_requests.at(id);
         if (request.isQueued) {
             dequeue(request);
-            reject(request,
-                   request.attempts != 0 || isSharded(request.service) ? GatewayError::NoOwner
-                                                                       : GatewayError::Overloaded,
+            reject(request, isSharded(request.service) ? GatewayError::NoOwner : GatewayError::Overloaded,
                    "no target became available in time", retryAfter(request, request.route->latencyObjective));
             continue;
         }
--- a/packages/core/tests/gatewayrouter_test.cpp
+++ b/packages/core/tests/gatewayrouter_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
 #include <map>
@@ -290,18 +291,43 @@
     CHECK(bench.answers.size() == 1);
 }
 
-TEST_CASE("When the caller disconnects, only idempotent requests are cancelled")
+TEST_CASE("When the caller disconnects, idempotent requests are cancelled, and others unless they are being sent")
 {
-    const auto [path, cancels] = GENERATE(table<std::string, std::size_t>({{"/read/", 1}, {"/write/", 0}}));
+    const auto [path, isOnlyUnsent] = GENERATE(table<std::string, bool>({{"/read/", false}, {"/write/", true}}));
     Bench bench;
     const RequestId id = bench.arrive(path);
     bench.take(bench.router.callerLeft(id, bench.now));
-    CHECK(bench.cancels.size() == cancels);
+    CHECK(bench.cancels == std::vector<CancelSend>{{id, 1, isOnlyUnsent}});
     CHECK(bench.router.activeRequests() == 0);
     bench.finish(bench.sends[0], AttemptEnd::AnswerLost);
     CHECK(bench.ends.empty());
 }
 
+TEST_CASE(
+    "A queued retry that finds no free target in time ends as overloaded, and as without an owner if it has a key")
+{
+    const auto [path, key, error] = GENERATE(table<std::string, std::optional<std::uint32_t>, GatewayError>(
+        {{"/read/", std::nullopt, GatewayError::Overloaded}, {"/key/", 5, GatewayError::NoOwner}}));
+    Bench bench(2);
+    bench.arrive(path, key);
+    const SendToTarget first = bench.sends.front();
+    if (key) {
+        bench.announceOwner(RangeState::Moving, 2);
+    } else {
+        while (bench.sends.size() == bench.lastId)
+            bench.arrive(path); // Until no target has room.
+    }
+    REQUIRE(bench.ends.empty());
+    bench.finish(first, AttemptEnd::NothingSent);
+    bench.now += 900ms;
+    bench.take(bench.router.tick(bench.now));
+    const auto end = std::find_if(bench.ends.begin(), bench.ends.end(),
+                                  [&first](const EndWithError &each) { return each.id == first.id; });
+    REQUIRE(end != bench.ends.end());
+    CHECK(end->error == error);
+    CHECK_FALSE(end->mayHaveRun);
+}
+
 TEST_CASE("Under overload, urgent requests go first and those that can't be sent in time are rejected immediately")
 {
     Bench bench(1);
