Keep the bounds of changes by construction, and publish targets once a response

Cause: each changed entry published all targets to the traffic thread: 2 to 3 ms of processor time for each of 77 new targets on a tenth of a core, during which requests, timers and timeouts waited. A removal that was learnt late was still kept for a second, beyond the drain bound. An exception in any task ended the process.

Change: one publication for all entries of a response. A vanished entry is kept at most until the drain bound less 0.3 s after the registry was last known to be complete. The timing of watches follows the bounds of the settings: longer bounds, fewer calls. An exception ends its task: Worker reports it (event 624) and goes on; timers and receives are re-armed first.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -63,5 +63,6 @@
 constexpr std::uint32_t gatewayRequestEnded = 620;
 constexpr std::uint32_t peerJoined = 622;
 constexpr std::uint32_t watchModeChanged = 623;
+constexpr std::uint32_t taskFailed = 624;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/targetregistry.h
+++ b/packages/core/include/sardinehinge/core/targetregistry.h
@@ -12,6 +12,8 @@
 struct RegistryTiming
 {
     Duration removalDelay = std::chrono::milliseconds(1000); ///< Half the shortest drain timeout of any user site.
+    Duration drainBound = std::chrono::milliseconds(2000); ///< From an entry's removal to the target's last request.
+    Duration sendMargin = std::chrono::milliseconds(300); ///< For requests that are on their way at the removal.
     Duration recoveryGrace = std::chrono::milliseconds(2100); ///< Targets renew lapsed entries within two seconds after
                                                               ///< an outage of the store.
 
@@ -21,7 +23,8 @@
 /// Tracks the targets in the platform's registry, including those whose entries may only have lapsed. Does no I/O.
 ///
 /// An entry vanishes when its target leaves, or when a store outage outlasts the entry's lifetime. A vanished entry is
-/// therefore kept for `removalDelay`, and after an outage for at least `recoveryGrace` from its end.
+/// therefore kept for `removalDelay`, and after an outage for at least `recoveryGrace` from its end. An entry whose
+/// removal is learnt late is kept for less: the drain bound counts from the time up to which the registry was complete.
 class TargetRegistry
 {
 public:
@@ -32,10 +35,11 @@
 
     /// Adds or replaces an entry.
     void put(const RegisteredTarget &target, Time now);
-    /// Marks an entry as vanished: it was deleted or can no longer be read.
-    void remove(const std::string &id, Time now);
+    /// Marks an entry as vanished: it was deleted or can no longer be read. `completeAt`: when this registry was last
+    /// known to be complete; the entry vanished after it.
+    void remove(const std::string &id, Time now, Time completeAt);
     /// Marks every entry whose id isn't in `present` as vanished. Call it with the ids of a complete listing.
-    void keepOnly(const std::vector<std::string> &present, Time now);
+    void keepOnly(const std::vector<std::string> &present, Time now, Time completeAt);
     /// Suspends expiry, except of draining targets, until `recoveryGrace` after storeReconnected().
     void storeDisconnected() noexcept { m_isStoreDisconnected = true; }
     void storeReconnected(Time now) noexcept;
@@ -56,6 +60,7 @@
         RegisteredTarget target;
         Time warmupEnd = 0ms;
         Time vanishedAt = 0ms; ///< 0: present in the registry.
+        Time removalAt = 0ms; ///< Of a vanished entry, unless the store is or was away.
     };
 
     RegistryTiming m_timing;
--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -31,12 +31,16 @@
 };
 
 /// Durations of the watch roster. If all watching daemons lose the store just before a change, every other daemon asks
-/// for the change within `confirmationLifetime`. The strictest required bound is 2 s.
+/// for the change within `confirmationLifetime`. The defaults suit a bound of 2 s from a change to its effect.
 struct RosterTiming
 {
+    /// The timing for another bound, of at least 1 s: the longer the bound, the fewer calls the watches cost.
+    static RosterTiming forBound(Duration changeBound) noexcept;
+
     std::size_t watcherCount = 2; ///< Daemons that watch; one may fail without affecting the others.
+    Duration watchWait = std::chrono::milliseconds(1000); ///< Of one call that waits for changes.
     Duration confirmationLifetime
-        = std::chrono::milliseconds(1600); ///< Covers a watch of 1 s, its answer and two lost notices.
+        = std::chrono::milliseconds(1600); ///< Covers a watch, its answer and two lost notices.
     Duration noticeInterval
         = std::chrono::milliseconds(300); ///< Between notices without a change; a change is sent immediately.
     Duration replacementDelay = std::chrono::milliseconds(200); ///< Minimum delay before a missing watcher is replaced.
--- a/packages/core/src/targetregistry.cpp
+++ b/packages/core/src/targetregistry.cpp
@@ -9,21 +9,25 @@
 {
     Entry &entry = m_entries[target.identity.id];
     const bool isSame = entry.target == target && entry.vanishedAt == 0ms;
-    entry = {target, now + target.warmupLeft, 0ms};
+    entry = {target, now + target.warmupLeft, 0ms, 0ms};
     m_isChanged = m_isChanged || !isSame;
 }
 
-void TargetRegistry::remove(const std::string &id, Time now)
+void TargetRegistry::remove(const std::string &id, Time now, Time completeAt)
 {
-    if (const auto found = m_entries.find(id); found != m_entries.end() && found->second.vanishedAt == 0ms)
-        found->second.vanishedAt = now;
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.vanishedAt != 0ms)
+        return;
+    found->second.vanishedAt = now;
+    found->second.removalAt
+        = std::min(now + m_timing.removalDelay, completeAt + m_timing.drainBound - m_timing.sendMargin);
 }
 
-void TargetRegistry::keepOnly(const std::vector<std::string> &present, Time now)
+void TargetRegistry::keepOnly(const std::vector<std::string> &present, Time now, Time completeAt)
 {
     for (const auto &[id, entry] : m_entries) {
         if (std::find(present.begin(), present.end(), id) == present.end())
-            remove(id, now);
+            remove(id, now, completeAt);
     }
 }
 
@@ -41,7 +45,7 @@
         if (entry.vanishedAt == 0ms)
             continue;
         // A draining target has announced that it leaves, so its entry can't merely have lapsed.
-        const bool isDue = entry.target.isDraining || now >= entry.vanishedAt + m_timing.removalDelay;
+        const bool isDue = entry.target.isDraining || now >= entry.removalAt;
         const bool isStoreReliable = entry.target.isDraining || (!m_isStoreDisconnected && now >= m_recoveryEnd);
         if (isDue && isStoreReliable)
             expired.push_back(id);
--- a/packages/core/src/watchroster.cpp
+++ b/packages/core/src/watchroster.cpp
@@ -21,6 +21,16 @@
 
 } // namespace
 
+RosterTiming RosterTiming::forBound(Duration changeBound) noexcept
+{
+    constexpr Duration callTime = std::chrono::milliseconds(400); ///< For the call that fetches the change.
+    constexpr Duration answerTime = std::chrono::milliseconds(600); ///< For a watch's answer and two lost notices.
+    RosterTiming timing;
+    timing.confirmationLifetime = std::max<Duration>(changeBound, 1s) - callTime;
+    timing.watchWait = std::max<Duration>(timing.confirmationLifetime - answerTime, 50ms);
+    return timing;
+}
+
 WatchRoster::WatchRoster(std::string self, Time now, RosterTiming timing)
     : m_self(std::move(self))
     , m_timing(timing)
--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -123,6 +123,36 @@
     }
 }
 
+TEST_CASE("A target whose removal is learnt late gets no request after the drain bound")
+{
+    struct Case
+    {
+        const char *name;
+        Duration drainBound;
+        Time completeAt; ///< Before this, the entry was there.
+        Time removedAt; ///< The removal was learnt at 10 s.
+    };
+    const auto [name, drainBound, completeAt, removedAt] = GENERATE(values<Case>({
+        {"learnt at once", 2s, 10s, 11s},
+        {"learnt after half a second", 2s, 9500ms, 11s},
+        {"learnt after a second", 2s, 9s, 10700ms},
+        {"learnt after a second, longer bound", 3s, 9s, 11s},
+        {"learnt at the bound", 2s, 8s, 10s},
+        {"learnt long after the bound", 2s, 1s, 10s},
+    }));
+    INFO(name);
+    RegistryTiming timing;
+    timing.drainBound = drainBound;
+    TargetRegistry registry(timing);
+    registry.put(targetOf("a"), 0s);
+    registry.remove("a", 10s, completeAt);
+    if (removedAt > 10s)
+        CHECK(registry.expire(removedAt - 1ms).empty());
+    CHECK(registry.expire(removedAt) == std::vector<std::string>{"a"});
+    const bool isLearntInTime = completeAt + drainBound > 10s;
+    CHECK((!isLearntInTime || removedAt < completeAt + drainBound));
+}
+
 TEST_CASE("A vanished entry is removed after the delay, or after the grace period that follows a store outage")
 {
     TargetRegistry registry;
@@ -131,8 +161,8 @@
     CHECK(registry.takeChanged());
     SECTION("store connected")
     {
-        registry.remove("a", 10s);
-        registry.remove("b", 10s);
+        registry.remove("a", 10s, 10s);
+        registry.remove("b", 10s, 10s);
         CHECK(registry.expire(10s) == std::vector<std::string>{"b"});
         CHECK(registry.expire(10900ms).empty());
         CHECK(registry.expire(11s) == std::vector<std::string>{"a"});
@@ -140,14 +170,14 @@
     }
     SECTION("entry reappears within the delay")
     {
-        registry.remove("a", 10s);
+        registry.remove("a", 10s, 10s);
         registry.put(targetOf("a"), 10500ms);
         CHECK(registry.expire(20s).empty());
     }
     SECTION("after a store outage")
     {
         registry.storeDisconnected();
-        registry.remove("a", 10s);
+        registry.remove("a", 10s, 10s);
         CHECK(registry.expire(15s).empty());
         registry.storeReconnected(15s);
         CHECK(registry.expire(17s).empty());
@@ -155,7 +185,7 @@
     }
     SECTION("missing from a complete listing")
     {
-        registry.keepOnly({"b"}, 10s);
+        registry.keepOnly({"b"}, 10s, 10s);
         CHECK(registry.expire(12s) == std::vector<std::string>{"a"});
         CHECK(idsOf(registry, 12s) == std::vector<std::string>{"b"});
     }
--- a/packages/core/tests/watchroster_test.cpp
+++ b/packages/core/tests/watchroster_test.cpp
@@ -179,3 +179,15 @@
     CHECK(fleet.daemons[4].roster.mode() == WatchRoster::Mode::Watching);
     CHECK(fleet.count(WatchRoster::Mode::Watching) == 1);
 }
+
+TEST_CASE("The roster's timing keeps the bound of a change, and calls less often where that allows it")
+{
+    const auto bound = GENERATE(values<Duration>({1s, 2s, 2500ms, 3s, 10s}));
+    const RosterTiming timing = RosterTiming::forBound(bound);
+    constexpr Duration slowestCall = 240ms;
+    CHECK(timing.confirmationLifetime + slowestCall <= bound);
+    // A watch without changes is answered, and heard of, before the previous confirmation has become stale.
+    CHECK(timing.watchWait + slowestCall + timing.noticeInterval <= timing.confirmationLifetime);
+    CHECK(RosterTiming::forBound(2s) == RosterTiming());
+    CHECK(RosterTiming::forBound(3s).watchWait == 2s);
+}
--- a/packages/daemon/include/sardinehinge/daemon/worker.h
+++ b/packages/daemon/include/sardinehinge/daemon/worker.h
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <ctime>
+#include <exception>
 #include <functional>
 #include <pthread.h>
 #include <string>
@@ -36,9 +37,12 @@
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
 
+    /// Calls `handler` with the text of each exception that leaves a task. Set it before start().
+    void onError(std::function<void(const std::string &)> handler) { m_onError = std::move(handler); }
+
     void start()
     {
-        m_thread = std::thread([this] { m_context.run(); });
+        m_thread = std::thread([this] { run(); });
         pthread_setname_np(m_thread.native_handle(), m_name.substr(0, 15).c_str());
     }
 
@@ -71,7 +75,22 @@
     }
 
 private:
+    /// An exception ends the task that threw it, with the connection that the task served, and not the process.
+    void run()
+    {
+        while (true) {
+            try {
+                m_context.run();
+                return;
+            } catch (const std::exception &error) {
+                if (m_onError)
+                    m_onError(error.what());
+            }
+        }
+    }
+
     std::string m_name;
+    std::function<void(const std::string &)> m_onError;
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::thread m_thread;
--- a/packages/daemon/src/controlduty.cpp
+++ b/packages/daemon/src/controlduty.cpp
@@ -68,8 +68,8 @@
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error)
             return;
+        armTimer(); // First, so that a failing tick doesn't end the ticks.
         tick();
-        armTimer();
     });
 }
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -60,6 +60,7 @@
                     [this](ToControl message) { return control.fromOperators().push(std::move(message)); })
     {
         addGauges();
+        logFailedTasks();
     }
 
     core::Result<core::Done> start()
@@ -119,6 +120,16 @@
     OperatorServer operators;
 
 private:
+    void logFailedTasks()
+    {
+        for (Worker *worker :
+             {&callers.worker(), &routing.worker(), &orders.worker(), &peers.worker(), &control.worker()})
+            worker->onError([this, worker](const std::string &detail) {
+                events.record(Severity::Error, core::events::taskFailed,
+                              "duty=" + worker->name() + " detail=\"" + detail + "\"");
+            });
+    }
+
     std::uint64_t seed() const { return std::hash<std::string>{}(self.id) ^ self.incarnation; }
 
     ControlOutlets makeOutlets()
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -17,7 +17,7 @@
 struct FeedTiming
 {
     core::Duration wait = std::chrono::milliseconds(1000); ///< One waiting call; its answer shows the others that the
-                                                           ///< store is heard, see core::RosterTiming.
+                                                           ///< store is heard, see core::RosterTiming::watchWait.
     core::Duration catchUpWait = std::chrono::milliseconds(200); ///< The same of a call for news that others told of.
     core::Duration pause = std::chrono::milliseconds(100); ///< Of a watch after changes: those that follow closely cost
                                                            ///< one call. setSparing() gives that of other daemons.
@@ -29,12 +29,19 @@
 
 /// Of the configuration. In an outage the watch of the targets usually finds out first that the store is back and wakes
 /// this one; but a daemon that follows may have no call for targets under way, so this one can't wait much longer.
-inline FeedTiming configFeedTiming()
+inline FeedTiming configFeedTiming(core::Duration wait)
 {
     FeedTiming timing;
+    timing.wait = wait;
     timing.retryMax = std::chrono::milliseconds(600);
     return timing;
 }
+inline FeedTiming targetFeedTiming(core::Duration wait)
+{
+    FeedTiming timing;
+    timing.wait = wait;
+    return timing;
+}
 
 /// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
 /// another daemon told of; lists again when history was lost. Single-threaded, on the feed's io_context.
@@ -72,17 +79,20 @@
     /// Calls at most once in `pause` for changes, whoever told of them; 0: as often as FeedTiming says. For daemons
     /// that nobody else depends on.
     void setSparing(core::Duration pause) noexcept { m_sparing = pause; }
-    /// Another daemon has come so far.
-    void told(const core::FeedPosition &position)
+    /// Another daemon had come so far at `answeredAt`, when the store answered it.
+    void told(const core::FeedPosition &position, core::Time answeredAt)
     {
         if (!m_isListed)
             return;
         if (position.relistedAt > m_listedAt)
             return listAgain();
-        if (position.changedAt <= m_position.completeTo)
+        if (position.changedAt <= m_position.completeTo) {
             m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
-        else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo && m_isIdle)
+            m_completeAt = std::max(m_completeAt, answeredAt);
+        } else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo
+                   && m_isIdle) {
             next();
+        }
     }
     /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision`.
     void takeFrom(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base, std::uint64_t revision)
@@ -94,6 +104,9 @@
         m_position.changedAt = m_position.completeTo = revision;
     }
     const core::FeedPosition &position() const noexcept { return m_position; }
+    /// When the known entries were last complete, by bootTime(). While `changed` and `listed` are called, the changes
+    /// that they bring are later than this.
+    core::Time completeAt() const noexcept { return m_completeAt; }
 
     /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
     void retryNow()
@@ -126,7 +139,8 @@
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
-            take(page);
+            if (!take(page))
+                return;
             if (page.hasMore && !page.entries.empty())
                 return list(page.entries.back().name);
             m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : m_position.relistedAt};
@@ -134,6 +148,7 @@
             m_listedAt = page.revision;
             m_isListed = true;
             m_handlers.listed(m_names);
+            m_completeAt = bootTime();
             m_changedAt = std::chrono::steady_clock::now();
             next();
         });
@@ -172,24 +187,35 @@
             const bool isNews = page.revision >= m_position.completeTo && !page.entries.empty();
             m_position.completeTo = std::max(m_position.completeTo, page.revision);
             if (isNews) {
-                take(page);
+                if (!take(page))
+                    return;
                 const std::uint64_t base = std::exchange(m_position.changedAt, m_position.completeTo);
                 m_changedAt = std::chrono::steady_clock::now();
                 if (m_handlers.watched)
                     m_handlers.watched(page.entries, base);
             }
+            m_completeAt = bootTime();
             next();
         });
     }
 
-    void take(const Page &page)
+    /// Hands the entries on. An exception counts as a failed call, so that the watch goes on.
+    bool take(const Page &page)
     {
-        for (const auto &entry : page.entries) {
-            m_names.push_back(entry.name);
-            m_handlers.changed(entry);
+        try {
+            for (const auto &entry : page.entries) {
+                m_names.push_back(entry.name);
+                m_handlers.changed(entry);
+            }
+        } catch (const std::exception &error) {
+            Page failed;
+            failed.detail = error.what();
+            fail(failed);
+            return false;
         }
         if (m_isListed)
             m_names.clear();
+        return true;
     }
 
     void succeed()
@@ -221,6 +247,7 @@
     std::vector<std::string> m_names;
     core::FeedPosition m_position;
     std::uint64_t m_listedAt = 0; ///< Store revision of the latest whole list.
+    core::Time m_completeAt{};
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
     std::uint64_t m_newsAt = 0; ///< Others know of a change there.
     core::Duration m_sparing = core::Duration(0);
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -27,6 +27,18 @@
 /// Changes of targets that are told to the others; more at once would hold up a narrow link, so they call the store.
 constexpr std::size_t mostPassedOn = 12;
 
+core::RosterTiming rosterTiming(const edges::GatewaySettings &settings)
+{
+    return core::RosterTiming::forBound(std::min(settings.changeBound, settings.drainBound));
+}
+
+core::RegistryTiming registryTiming(const edges::GatewaySettings &settings)
+{
+    core::RegistryTiming timing;
+    timing.drainBound = settings.drainBound;
+    return timing;
+}
+
 const char *nameOf(core::WatchRoster::Mode mode)
 {
     switch (mode) {
@@ -60,11 +72,11 @@
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
                  }},
-                configFeedTiming())
+                configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
                     [this](const std::vector<std::string> &names) {
-                        m_registry.keepOnly(names, bootTime());
+                        m_registry.keepOnly(names, bootTime(), m_targetFeed.completeAt());
                         m_hasTargets = true;
                         publishTargets();
                     },
@@ -74,15 +86,20 @@
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
                     },
-                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); }})
+                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); }},
+                   targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
         m_reports.drain(
             [this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
     }))
     , m_self{settings.id, 0}
-    , m_roster(settings.id, bootTime())
+    , m_registry(registryTiming(settings))
+    , m_roster(settings.id, bootTime(), rosterTiming(settings))
 {
+    m_worker.onError([this](const std::string &detail) {
+        m_events.record(Severity::Error, core::events::taskFailed, "duty=control detail=\"" + detail + "\"");
+    });
 }
 
 GatewayControl::~GatewayControl()
@@ -239,10 +256,15 @@
         if (!entry.fault.empty())
             m_events.record(Severity::Warning, core::events::targetEntryRefused,
                             "target=" + entry.name + " reason=\"" + entry.fault + "\"");
-        m_registry.remove(entry.name, now);
+        m_registry.remove(entry.name, now, m_targetFeed.completeAt());
     }
-    if (m_hasTargets)
+    // Once for all entries of a response: each publication costs time for every target.
+    if (!m_hasTargets || std::exchange(m_isPublicationScheduled, true))
+        return;
+    boost::asio::post(m_worker.context(), [this] {
+        m_isPublicationScheduled = false;
         publishTargets();
+    });
 }
 
 /// Takes in the end of a watch's call; true when the store is back after an outage, which the other watch should know.
@@ -333,6 +355,11 @@
 
 void GatewayControl::onTimer()
 {
+    m_timer.expires_after(timerStep);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
     shareWatches();
     if (m_hasTargets)
         publishTargets();
@@ -358,11 +385,6 @@
     m_hasResigned.store(m_isResigning && std::all_of(m_services.begin(), m_services.end(), [](const auto &entry) {
                             return entry.second.control == nullptr || entry.second.control->isStopped();
                         }));
-    m_timer.expires_after(timerStep);
-    m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error)
-            onTimer();
-    });
 }
 
 void GatewayControl::run(const std::string &service, const core::ControlEvent &event)
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -85,7 +85,7 @@
 
     // Datagrams. In gatewaycontrol_peers.cpp.
     void receive();
-    void received(std::size_t bytes);
+    void received(const std::string &bytes, const boost::asio::ip::udp::endpoint &source);
     void heard(const std::string &from, const core::RangeOwners &message);
     void heard(const std::string &from, const core::RangeOwnersChange &message);
     void heard(const std::string &from, const core::ControllerHeartbeat &message);
@@ -118,6 +118,7 @@
     core::DaemonIdentity m_self;
     bool m_hasEntered = false;
     bool m_hasTargets = false;
+    bool m_isPublicationScheduled = false;
     bool m_isReachable = true;
     bool m_isResigning = false;
     std::atomic<bool> m_hasResigned = false;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -25,19 +25,21 @@
                                 [this](const boost::system::error_code &error, std::size_t bytes) {
                                     if (error == boost::asio::error::operation_aborted)
                                         return;
+                                    const std::string datagram(m_buffer.data(), error ? 0 : bytes);
+                                    const auto from = m_from;
+                                    receive(); // First, so that a datagram that can't be handled doesn't end it.
                                     if (!error)
-                                        received(bytes);
-                                    receive();
+                                        received(datagram, from);
                                 });
 }
 
-void GatewayControl::received(std::size_t bytes)
+void GatewayControl::received(const std::string &bytes, const boost::asio::ip::udp::endpoint &source)
 {
-    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes));
-    auto result = protocol::decodeGateway({m_buffer.data(), bytes});
+    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes.size()));
+    auto result = protocol::decodeGateway(bytes);
     if (const core::Error *error = core::errorIn(result)) {
         m_events.record(Severity::Warning, core::events::peerMessageRefused,
-                        m_from.address().to_string() + ": " + error->detail);
+                        source.address().to_string() + ": " + error->detail);
         return;
     }
     const auto &datagram = std::get<protocol::GatewayDatagram>(result);
@@ -45,7 +47,7 @@
     if (from == m_self.id)
         return;
     // Ports are the same on all instances: the address that it came from is the one to answer to.
-    const std::string address = m_from.address().to_string() + ":" + std::to_string(m_from.port());
+    const std::string address = source.address().to_string() + ":" + std::to_string(source.port());
     const auto *hello = std::get_if<protocol::Hello>(&datagram.message);
     addPeer({from, datagram.sender.incarnation, address, hello == nullptr ? 0 : hello->linkMbps});
     if (m_peers[from].incarnation > datagram.sender.incarnation)
@@ -120,9 +122,10 @@
 
 void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
 {
-    m_roster.noticeReceived(message, bootTime());
-    m_configs.told(message.configs);
-    m_targetFeed.told(message.targets);
+    const core::Time now = bootTime();
+    m_roster.noticeReceived(message, now);
+    m_configs.told(message.configs, now - message.age);
+    m_targetFeed.told(message.targets, now - message.age);
 }
 
 void GatewayControl::heard(const std::string &, const protocol::TargetChanges &message)
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -135,6 +135,9 @@
             [this](const ToTraffic &update) { std::visit([this](const auto &each) { take(each); }, update); });
     }))
 {
+    m_worker.onError([this](const std::string &detail) {
+        m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=\"" + detail + "\"");
+    });
     m_router.setDaemonCount(settings.daemons);
 }
 
@@ -301,8 +304,14 @@
     const auto found = m_exchanges.find(effect.id);
     if (found == m_exchanges.end())
         return;
-    if (const auto send = found->second.sends.find(effect.attempt); send != found->second.sends.end())
-        m_client.cancel(send->second);
+    const auto send = found->second.sends.find(effect.attempt);
+    if (send == found->second.sends.end())
+        return;
+    const auto exchange = send->second; // The callback of a cancelled exchange erases the entry.
+    if (effect.isOnlyUnsent)
+        m_client.cancelUnsent(exchange);
+    else
+        m_client.cancel(exchange);
 }
 
 void GatewayTraffic::act(const core::ForwardAnswer &effect)
@@ -363,10 +372,10 @@
 void GatewayTraffic::onTimer()
 {
     const core::Time now = bootTime();
-    carryOut(m_router.tick(now));
-    reportLoad(now);
     if (m_router.activeRequests() != 0)
         armTimer();
+    carryOut(m_router.tick(now));
+    reportLoad(now);
 }
 
 void GatewayTraffic::reportLoad(core::Time now)
--- a/packages/daemon/src/peerduty.cpp
+++ b/packages/daemon/src/peerduty.cpp
@@ -91,19 +91,20 @@
                                 [this](const boost::system::error_code &error, std::size_t bytes) {
                                     if (error == boost::asio::error::operation_aborted)
                                         return;
+                                    const std::string datagram(m_buffer.data(), error ? 0 : bytes);
+                                    const std::string source = m_from.address().to_string();
+                                    receive(); // First, so that a datagram that can't be handled doesn't end it.
                                     if (!error)
-                                        received(bytes);
-                                    receive();
+                                        received(datagram, source);
                                 });
 }
 
-void PeerDuty::received(std::size_t bytes)
+void PeerDuty::received(const std::string &bytes, const std::string &source)
 {
-    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes));
-    auto result = protocol::decode({m_buffer.data(), bytes});
+    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes.size()));
+    auto result = protocol::decode(bytes);
     if (const core::Error *error = core::errorIn(result)) {
-        m_events.record(Severity::Debug, core::events::peerMessageRefused,
-                        m_from.address().to_string() + ": " + error->detail);
+        m_events.record(Severity::Debug, core::events::peerMessageRefused, source + ": " + error->detail);
         return;
     }
     auto &envelope = std::get<protocol::Envelope>(result);
--- a/packages/daemon/src/peerduty.h
+++ b/packages/daemon/src/peerduty.h
@@ -39,7 +39,7 @@
     void take(const OutgoingMessage &message);
     void send(const std::string &to, const core::PeerMessage &message);
     void receive();
-    void received(std::size_t bytes);
+    void received(const std::string &bytes, const std::string &source);
 
     core::DaemonIdentity m_self;
     EventLog &m_events;
--- a/packages/daemon/src/routingduty.cpp
+++ b/packages/daemon/src/routingduty.cpp
@@ -104,10 +104,10 @@
     m_timer.async_wait([this, isActive](const boost::system::error_code &error) {
         if (error)
             return;
+        armTimer(); // First, so that a failing tick doesn't end the ticks.
         if (isActive || m_router.activeRequests() != 0)
             run(core::RouterTick{});
         reportLoad();
-        armTimer();
     });
 }
 
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -89,10 +89,10 @@
     CHECK(watching.feed.calls.size() == 1);
     Listed following(false);
     CHECK(following.feed.calls.empty());
-    following.watcher.told({9, 30}); // No change since its list.
+    following.watcher.told({9, 30}, 0ms); // No change since its list.
     following.run();
     CHECK(following.feed.calls.empty());
-    following.watcher.told({31, 31});
+    following.watcher.told({31, 31}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     CHECK(following.feed.calls.front().revision == 30);
@@ -115,7 +115,7 @@
     Listed following(false);
     following.watcher.takeFrom({{"a", std::nullopt, {}}, {"b", 2, {}}}, base, revision);
     CHECK((following.values == std::map<std::string, int>{{"b", 2}}) == isTaken);
-    following.watcher.told({revision, revision});
+    following.watcher.told({revision, revision}, 0ms);
     following.run();
     CHECK(following.feed.calls.empty() == (isTaken || revision <= 10));
 }
@@ -123,7 +123,7 @@
 TEST_CASE("A late answer of the store does not undo what another daemon passed on since")
 {
     Listed following(false);
-    following.watcher.told({12, 12});
+    following.watcher.told({12, 12}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     following.watcher.takeFrom({{"a", 3, {}}}, 10, 15);
@@ -138,20 +138,20 @@
     watching.feed.answer({}, 20); // The watch heard nothing, although b came at 15.
     watching.run();
     Listed following(false);
-    following.watcher.told(watching.watcher.position());
+    following.watcher.told(watching.watcher.position(), 0ms);
     watching.feed.answer({}, 0, edges::StoreOutcome::HistoryGone);
     watching.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
     watching.run();
     CHECK(watching.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
 
-    following.watcher.told(watching.watcher.position());
+    following.watcher.told(watching.watcher.position(), 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     CHECK(following.feed.calls.front().revision == 0); // A list, since a watch from 20 on would not show b.
     following.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
     following.run();
     CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
-    following.watcher.told(watching.watcher.position());
+    following.watcher.told(watching.watcher.position(), 0ms);
     following.run();
     CHECK(following.feed.calls.empty());
 }
@@ -160,9 +160,9 @@
 {
     // Once the store takes its calls again, it has 2 s to know of a change; news and answers take some of it.
     constexpr core::Duration mostBetweenCalls = 1s;
-    const auto timing = GENERATE(daemon::FeedTiming(), daemon::configFeedTiming());
+    const auto timing = GENERATE(daemon::FeedTiming(), daemon::configFeedTiming(1s));
     Listed following(false, timing);
-    following.watcher.told({30, 30});
+    following.watcher.told({30, 30}, 0ms);
     const auto start = std::chrono::steady_clock::now();
     auto lastCall = start;
     core::Duration longest = 0ms;
@@ -177,3 +177,14 @@
     CHECK(longest <= mostBetweenCalls);
     CHECK(lastCall - start > 3s);
 }
+
+TEST_CASE("A watcher knows how far back its entries were last complete")
+{
+    Listed following(false);
+    const core::Time listed = following.watcher.completeAt();
+    CHECK(listed > 0ms);
+    following.watcher.told({10, 30}, listed + 5s); // No change since.
+    CHECK(following.watcher.completeAt() == listed + 5s);
+    following.watcher.told({31, 31}, listed + 9s); // A change that isn't known yet.
+    CHECK(following.watcher.completeAt() == listed + 5s);
+}
--- a/packages/daemon/tests/ring_test.cpp
+++ b/packages/daemon/tests/ring_test.cpp
@@ -1,13 +1,31 @@
 #include <sardinehinge/daemon/ring.h>
+#include <sardinehinge/daemon/worker.h>
 
 #include <catch2/catch.hpp>
 
+#include <future>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
 
 using sardinehinge::daemon::Ring;
 
+TEST_CASE("A task that throws ends alone: its worker reports it and runs the next tasks")
+{
+    sardinehinge::daemon::Worker worker("test");
+    std::vector<std::string> errors;
+    worker.onError([&errors](const std::string &detail) { errors.push_back(detail); });
+    std::promise<void> done;
+    boost::asio::post(worker.context(), [] { throw std::bad_alloc(); });
+    boost::asio::post(worker.context(), [] { throw std::runtime_error("unexpected"); });
+    boost::asio::post(worker.context(), [&done] { done.set_value(); });
+    worker.start();
+    CHECK(done.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+    worker.stop();
+    CHECK(errors == std::vector<std::string>{"std::bad_alloc", "unexpected"});
+}
+
 TEST_CASE("A full ring refuses, counts, and keeps what it has")
 {
     int wakes = 0;
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -155,6 +155,7 @@
     std::string storeAddress;
     std::size_t daemons = 1; ///< Least number that is assumed to share the retry allowance.
     core::RetryAllowance retries;
+    core::Duration changeBound = std::chrono::seconds(2); ///< From a configuration's storing to its effect everywhere.
     core::Duration drainBound = std::chrono::seconds(2); ///< From a target's leaving to its last new request.
     core::Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end of the process.
     core::Duration longestLease = std::chrono::seconds(10); ///< That targets accept.
