--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <atomic>
+#include <functional>
 #include <limits>
 #include <mutex>
 #include <optional>
@@ -108,40 +110,33 @@
     std::thread m_thread;
 };
 
-/// Answers each request with `head` and then `repeated`, without end or `rounds` times, until the client closes.
-class EndlessPeer
+/// Accepts connections and serves each on a thread of its own.
+class ThreadedPeer
 {
 public:
-    EndlessPeer(std::string head, std::string repeated, bool isSlow, int rounds = std::numeric_limits<int>::max())
-        : m_head(std::move(head))
-        , m_repeated(std::move(repeated))
-        , m_isSlow(isSlow)
-        , m_rounds(rounds)
+    using Serve = std::function<void(tcp::socket &socket, int index)>; ///< `index` counts connections from 0.
+
+    explicit ThreadedPeer(Serve serve)
+        : m_serve(std::move(serve))
         , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
         , m_thread([this] { run(); })
     {
     }
 
-    ~EndlessPeer()
+    ~ThreadedPeer()
     {
         m_isStopped = true;
         boost::system::error_code ignored;
         boost::asio::io_context context;
         tcp::socket(context).connect(m_acceptor.local_endpoint(), ignored);
         m_thread.join();
-        for (std::thread &writer : m_writers)
-            writer.join();
+        for (std::thread &each : m_threads)
+            each.join();
     }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
-    std::size_t bytesSent() const { return m_bytesSent; }
-    /// Waits for the client to close the connection.
-    bool hasSeenReset() const
-    {
-        for (int wait = 0; wait < 2000 && !m_isReset; ++wait)
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        return m_isReset;
-    }
+    int connections() const { return m_connections; }
+    bool isStopped() const { return m_isStopped; }
 
 private:
     void run()
@@ -152,10 +147,43 @@
             m_acceptor.accept(*socket, error);
             if (error || m_isStopped)
                 return;
-            m_writers.emplace_back([this, socket] { write(*socket); });
+            m_threads.emplace_back([this, socket, index = m_connections++] { m_serve(*socket, index); });
         }
     }
 
+    Serve m_serve;
+    std::atomic<bool> m_isStopped = false;
+    std::atomic<int> m_connections = 0;
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::vector<std::thread> m_threads;
+    std::thread m_thread;
+};
+
+/// Answers each request with `head` and then `repeated`, without end or `rounds` times, until the client closes.
+class EndlessPeer
+{
+public:
+    EndlessPeer(std::string head, std::string repeated, bool isSlow, int rounds = std::numeric_limits<int>::max())
+        : m_head(std::move(head))
+        , m_repeated(std::move(repeated))
+        , m_isSlow(isSlow)
+        , m_rounds(rounds)
+        , m_peer([this](tcp::socket &socket, int) { write(socket); })
+    {
+    }
+
+    std::string address() const { return m_peer.address(); }
+    std::size_t bytesSent() const { return m_bytesSent; }
+    /// Waits for the client to reset the connection.
+    bool hasSeenReset() const
+    {
+        for (int wait = 0; wait < 2000 && !m_isReset; ++wait)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return m_isReset;
+    }
+
+private:
     void write(tcp::socket &socket)
     {
         boost::system::error_code error;
@@ -165,7 +193,7 @@
         std::string block = m_repeated;
         while (!m_isSlow && m_rounds > 1 && block.size() < 16'384)
             block += m_repeated;
-        for (int round = 0; round < m_rounds && !error && !m_isStopped; ++round) {
+        for (int round = 0; round < m_rounds && !error && !m_peer.isStopped(); ++round) {
             m_bytesSent += boost::asio::write(socket, boost::asio::buffer(block), error);
             if (m_isSlow)
                 std::this_thread::sleep_for(std::chrono::milliseconds(2));
@@ -180,13 +208,9 @@
     std::string m_repeated;
     bool m_isSlow;
     int m_rounds;
-    std::atomic<bool> m_isStopped = false;
     std::atomic<bool> m_isReset = false;
     std::atomic<std::size_t> m_bytesSent = 0;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::vector<std::thread> m_writers;
-    std::thread m_thread;
+    ThreadedPeer m_peer; // Last: its threads use the other members.
 };
 
 /// Answers the requests of its first connection with `first`, those of later ones with `later`, in order.
@@ -196,56 +220,29 @@
     SequencePeer(std::vector<std::string> first, std::vector<std::string> later)
         : m_first(std::move(first))
         , m_later(std::move(later))
-        , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
-        , m_thread([this] { run(); })
-    {
-    }
-
-    ~SequencePeer()
+        , m_peer([this](tcp::socket &socket, int index) { answer(socket, index == 0 ? m_first : m_later); })
     {
-        m_isStopped = true;
-        boost::system::error_code ignored;
-        boost::asio::io_context context;
-        tcp::socket(context).connect(m_acceptor.local_endpoint(), ignored);
-        m_thread.join();
-        for (std::thread &each : m_threads)
-            each.join();
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
-    int connections() const { return m_connections; }
+    std::string address() const { return m_peer.address(); }
+    int connections() const { return m_peer.connections(); }
 
 private:
-    void run()
+    static void answer(tcp::socket &socket, const std::vector<std::string> &responses)
     {
-        while (true) {
-            boost::system::error_code error;
-            auto socket = std::make_shared<tcp::socket>(m_context);
-            m_acceptor.accept(*socket, error);
-            if (error || m_isStopped)
+        boost::system::error_code error;
+        char buffer[4096];
+        for (const std::string &response : responses) {
+            if (socket.read_some(boost::asio::buffer(buffer), error) == 0 || error)
                 return;
-            const auto &responses = m_connections++ == 0 ? m_first : m_later;
-            m_threads.emplace_back([socket, &responses] {
-                boost::system::error_code failed;
-                char buffer[4096];
-                for (const std::string &response : responses) {
-                    if (socket->read_some(boost::asio::buffer(buffer), failed) == 0 || failed)
-                        return;
-                    boost::asio::write(*socket, boost::asio::buffer(response), failed);
-                }
-                socket->read_some(boost::asio::buffer(buffer), failed); // Until the client closes.
-            });
+            boost::asio::write(socket, boost::asio::buffer(response), error);
         }
+        socket.read_some(boost::asio::buffer(buffer), error); // Until the client closes.
     }
 
     std::vector<std::string> m_first;
     std::vector<std::string> m_later;
-    std::atomic<bool> m_isStopped = false;
-    std::atomic<int> m_connections = 0;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::vector<std::thread> m_threads;
-    std::thread m_thread;
+    ThreadedPeer m_peer; // Last: its threads use the other members.
 };
 
 http::ExchangeResult exchange(const std::string &address)
