Read the era of the platform's store

Cause: the store may return from an older copy; its header Store-Era then rises. Revisions, positions and incarnations that were compared as bare numbers aren't comparable over eras.

A target's entry carries its sequence. No decision uses any of it yet.

Ruled out: an incarnation from the wall clock, which may jump back.

--- a/packages/core/include/sardinehinge/core/keyrange.h
+++ b/packages/core/include/sardinehinge/core/keyrange.h
@@ -60,6 +60,7 @@
 /// without gaps, from 0 to `lastKey`; empty before the first assignment.
 struct OwnershipRecord
 {
+    StoreEra era = 0; ///< Of the store that the record was written to. In a later era the record may be outdated.
     std::uint64_t term = 0; ///< Increases with each change of the controller.
     std::string controller; ///< Id of the controlling daemon.
     std::uint64_t controllerIncarnation = 0;
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -71,6 +71,7 @@
     std::optional<OwnershipRecord> record;
     std::uint64_t revision = 0;
     Time requestedAt = 0ms; ///< When the call was sent. The store was read at some later moment.
+    StoreEra era = 0; ///< Of the store when it answered.
 };
 
 /// A read or a write failed or got no response. A write may still take effect.
@@ -83,6 +84,7 @@
 {
     std::uint64_t revision = 0;
     Time requestedAt = 0ms; ///< When the call was sent.
+    StoreEra era = 0; ///< Of the store when it answered.
 };
 
 /// A conditional write failed because the revision has changed. Carries the current record.
@@ -90,6 +92,7 @@
 {
     OwnershipRecord record;
     std::uint64_t revision = 0;
+    StoreEra era = 0; ///< Of the store when it answered.
 };
 
 /// Heartbeat of a service's controller, sent to all daemons.
@@ -103,6 +106,7 @@
     bool isLeaving = false; ///< The controller is shutting down. It stays in control until another daemon takes over.
     Time sentAt = 0ms; ///< By the sender's clock.
     bool wantsAck = false;
+    StoreEra era = 0; ///< The latest that the sender knows.
 
     bool operator==(const ControllerHeartbeat &) const = default;
 };
@@ -114,6 +118,7 @@
     DaemonIdentity from;
     std::uint64_t term = 0; ///< Highest known to the sender.
     Time sentAt = 0ms; ///< Of the heartbeat, by the controller's clock.
+    StoreEra era = 0; ///< The latest that the sender knows.
 
     bool operator==(const ControllerHeartbeatAck &) const = default;
 };
--- a/packages/core/include/sardinehinge/core/target.h
+++ b/packages/core/include/sardinehinge/core/target.h
@@ -15,6 +15,7 @@
     std::uint32_t slots = 1; ///< Requests that it can run concurrently.
     bool isDraining = false;
     Duration warmupLeft = 0ms; ///< Warm-up time that remained when it was registered; it is slower meanwhile.
+    std::uint64_t sequence = 0; ///< Counts the entries that this incarnation of the target has written.
 
     bool operator==(const RegisteredTarget &) const = default;
 };
--- a/packages/core/include/sardinehinge/core/types.h
+++ b/packages/core/include/sardinehinge/core/types.h
@@ -19,6 +19,10 @@
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
 
+/// The generation of the platform's store. It rises whenever the store returns from an older copy and so has lost
+/// writes that it had acknowledged. Revisions are comparable within one era only. 0: the store tells none.
+using StoreEra = std::uint64_t;
+
 /// A service of a workspace.
 struct ServiceId
 {
--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -11,6 +11,7 @@
 /// How current a daemon's copy of one kind of objects in the platform's store is.
 struct FeedPosition
 {
+    StoreEra era = 0; ///< Of the revisions below.
     std::uint64_t changedAt = 0; ///< Store revision of the latest known change.
     std::uint64_t completeTo = 0; ///< No later change exists up to this store revision.
     std::uint64_t relistedAt = 0; ///< Revision of the last full list after the store had dropped history; 0: none.
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -143,7 +143,8 @@
                 return;
             if (page.hasMore && !page.entries.empty())
                 return list(page.entries.back().name);
-            m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : m_position.relistedAt};
+            m_position
+                = {page.era, page.revision, page.revision, m_isHistoryLost ? page.revision : m_position.relistedAt};
             m_isHistoryLost = false;
             m_listedAt = page.revision;
             m_isListed = true;
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -45,6 +45,7 @@
     std::uint64_t revision = 0; ///< Of the store: changes from here on are still to come.
     bool hasMore = false;
     std::string detail;
+    core::StoreEra era = 0; ///< Of the revision.
 };
 
 /// Objects of one kind in the platform's store.
@@ -72,6 +73,7 @@
     std::optional<core::OwnershipRecord> record; ///< With Ok and Conflict.
     std::uint64_t revision = 0;
     std::string detail;
+    core::StoreEra era = 0; ///< Of the revision.
 };
 
 class OwnershipStore
@@ -94,8 +96,9 @@
 class PeerRegistry : public Feed<core::PeerDaemon>
 {
 public:
-    /// Enters this daemon. The reply's revision is larger than that of every earlier life under the same id.
-    virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t revision)> done)
+    /// Enters this daemon. With an incarnation of 0 it is a new one: the reply's is larger than that of every earlier
+    /// life under the same id. Otherwise the entry is written again under that incarnation, if the store has lost it.
+    virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t incarnation)> done)
         = 0;
 };
 
@@ -162,6 +165,7 @@
     std::uint64_t memoryBytes = 256ULL << 20;
     std::uint32_t linkMbps = 0; ///< Bandwidth of this instance's link; 0: not said.
     std::size_t descriptors = 4096;
+    bool isFirstStart = false; ///< No daemon of this deployment has run before.
 
     bool operator==(const GatewaySettings &) const = default;
 };
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -39,12 +39,14 @@
   5: bool isLeaving,
   6: i64 sentAt,
   7: bool wantsAck,
+  8: i64 era,
 }
 
 struct Ack {
   1: string group,
   2: i64 term,
   3: i64 sentAt,
+  4: i64 era,
 }
 
 struct Resigned {
@@ -82,6 +84,7 @@
   1: i64 changedAt,
   2: i64 completeTo,
   3: i64 relistedAt,
+  4: i64 era,
 }
 
 struct WatchNotice {
@@ -100,12 +103,14 @@
   7: i32 capacity,
   8: bool isDraining,
   9: i32 warmupMs,
+  10: i64 sequence,
 }
 
 struct TargetChanges {
   1: i64 base,      // Store revision of the change before these.
   2: i64 revision,
   3: list<TargetChange> changes,
+  4: i64 era,
 }
 
 struct Hello {
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -56,6 +56,7 @@
     std::uint64_t base = 0; ///< Store revision of the change before these.
     std::uint64_t revision = 0;
     std::vector<TargetChange> changes;
+    core::StoreEra era = 0; ///< Of both revisions.
 
     bool operator==(const TargetChanges &) const = default;
 };
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -33,12 +33,14 @@
     out.__set_changedAt(toWire(position.changedAt));
     out.__set_completeTo(toWire(position.completeTo));
     out.__set_relistedAt(toWire(position.relistedAt));
+    out.__set_era(toWire(position.era));
     return out;
 }
 
 core::FeedPosition fromWire(const gatewaywire::FeedPosition &position) noexcept
 {
-    return {fromWire(position.changedAt), fromWire(position.completeTo), fromWire(position.relistedAt)};
+    return {fromWire(position.era), fromWire(position.changedAt), fromWire(position.completeTo),
+            fromWire(position.relistedAt)};
 }
 
 /// Puts each kind of message into its field of the datagram.
@@ -97,6 +99,7 @@
         beat.__set_isLeaving(message.isLeaving);
         beat.__set_sentAt(message.sentAt.count());
         beat.__set_wantsAck(message.wantsAck);
+        beat.__set_era(toWire(message.era));
         out.__set_beat(beat);
     }
 
@@ -106,6 +109,7 @@
         ack.__set_group(message.service);
         ack.__set_term(toWire(message.term));
         ack.__set_sentAt(message.sentAt.count());
+        ack.__set_era(toWire(message.era));
         out.__set_ack(ack);
     }
 
@@ -132,6 +136,7 @@
         gatewaywire::TargetChanges changes;
         changes.__set_base(toWire(message.base));
         changes.__set_revision(toWire(message.revision));
+        changes.__set_era(toWire(message.era));
         for (const TargetChange &change : message.changes) {
             gatewaywire::TargetChange entry;
             entry.__set_id(change.id);
@@ -143,6 +148,7 @@
                 entry.__set_failureDomain(target->failureDomain);
                 entry.__set_capacity(static_cast<std::int32_t>(target->slots));
                 entry.__set_isDraining(target->isDraining);
+                entry.__set_sequence(toWire(target->sequence));
                 entry.__set_warmupMs(static_cast<std::int32_t>(
                     std::chrono::duration_cast<std::chrono::milliseconds>(target->warmupLeft).count()));
             }
@@ -258,7 +264,7 @@
 
 std::optional<GatewayMessage> readTargetChanges(const gatewaywire::TargetChanges &in)
 {
-    TargetChanges changes{fromWire(in.base), fromWire(in.revision), {}};
+    TargetChanges changes{fromWire(in.base), fromWire(in.revision), {}, fromWire(in.era)};
     if (changes.revision < changes.base)
         return std::nullopt;
     for (const gatewaywire::TargetChange &entry : in.changes) {
@@ -272,7 +278,8 @@
                                                    entry.failureDomain,
                                                    static_cast<std::uint32_t>(entry.capacity),
                                                    entry.isDraining,
-                                                   std::chrono::milliseconds(entry.warmupMs)};
+                                                   std::chrono::milliseconds(entry.warmupMs),
+                                                   fromWire(entry.sequence)};
         changes.changes.push_back(std::move(change));
     }
     return changes;
@@ -295,7 +302,8 @@
                                          std::chrono::milliseconds(in.beat.storeAgeMs),
                                          in.beat.isLeaving,
                                          core::Time(in.beat.sentAt),
-                                         in.beat.wantsAck};
+                                         in.beat.wantsAck,
+                                         fromWire(in.beat.era)};
     if (isset.ownersChange)
         return readChange(in.ownersChange);
     if (isset.targetChanges)
@@ -307,8 +315,11 @@
                                  std::chrono::milliseconds(in.watchNotice.ageMs)};
     }
     if (isset.ack)
-        return core::ControllerHeartbeatAck{
-            in.ack.group, {in.sender, fromWire(in.incarnation)}, fromWire(in.ack.term), core::Time(in.ack.sentAt)};
+        return core::ControllerHeartbeatAck{in.ack.group,
+                                            {in.sender, fromWire(in.incarnation)},
+                                            fromWire(in.ack.term),
+                                            core::Time(in.ack.sentAt),
+                                            fromWire(in.ack.era)};
     if (isset.resigned)
         return core::ControllerResigned{in.resigned.group, in.sender, fromWire(in.resigned.term)};
     if (isset.wanted)
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -16,19 +16,20 @@
             "s", 3, 9, {{{0, 99}, "a", core::RangeState::Held}, {{100, core::lastKey}, "", core::RangeState::Moving}}},
         core::RangeOwnersChange{
             "s", 3, 2, 8, 9, {{{5, 6}, "a", core::RangeState::OwnerLost}, {{70, 80}, "b", core::RangeState::Held}}},
-        core::ControllerHeartbeat{"s", "sender", 3, 9, 1500ms, true, core::Time(123456789), true},
-        core::ControllerHeartbeatAck{"s", {"sender", 42}, 3, core::Time(123456789)},
+        core::ControllerHeartbeat{"s", "sender", 3, 9, 1500ms, true, core::Time(123456789), true, 6},
+        core::ControllerHeartbeatAck{"s", {"sender", 42}, 3, core::Time(123456789), 6},
         core::ControllerResigned{"s", "sender", 2},
         protocol::OwnersWanted{"s"},
         protocol::LoadMessage{"s", {{1, 2}, {65535, 7}}, {{"a", 1.5}}},
         protocol::RefusedMessage{"s", "a", 65535},
         protocol::Hello{"10.0.0.1:7620", true, 200},
-        core::WatchNotice{"sender", {17, 30, 16}, {29, 31, 0}, 120ms},
+        core::WatchNotice{"sender", {5, 17, 30, 16}, {6, 29, 31, 0}, 120ms},
         protocol::TargetChanges{
             17,
             30,
-            {{"a", core::RegisteredTarget{{"a", 1700000000000}, "s", "10.0.0.9:80", "d", 6, true, 2500ms}},
-             {"b", std::nullopt}}},
+            {{"a", core::RegisteredTarget{{"a", 1700000000000}, "s", "10.0.0.9:80", "d", 6, true, 2500ms, 41}},
+             {"b", std::nullopt}},
+            6},
     };
     return all;
 }
