Restore the ownership record when the store returns from an older copy

Cause: every rule of RangeControl counts on a record that the store keeps once it has acknowledged it. Ruled out: a record that is gone or shows the controller's lease as over (the copy had the record, of the same term); a former controller that goes on by its voters (it stepped down within 2 ms of the new one's heartbeat).

Change: records, heartbeats and acknowledgements name the era. A controller that a majority of its voters follows in the new era writes its own record again, in a new term; any other claim on an outdated record counts all owners as unknown and waits until no earlier controller's grant can hold. A new controller changes no owners until the earlier ones are known to have stopped, so that no change can be unknown to a majority of the voters. Terms of a later era are above all earlier ones, so fences never recur. A write answered in another era than its record's counts as failed.

RangeWorld's record has a revision of its own now, as in the store.

--- a/packages/core/include/sardinehinge/core/keyrange.h
+++ b/packages/core/include/sardinehinge/core/keyrange.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/types.h>
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -54,6 +55,8 @@
     std::vector<DaemonIdentity> voters;
 
     bool operator==(const PastController &) const = default;
+    /// Whether it stands for controllers, and owners of theirs, that the store has forgotten. It has no id then.
+    bool isUnknown() const noexcept { return identity.id.empty(); }
 };
 
 /// The stored ownership state of a sharded service: its controller and the owners of its ranges. Ranges are in order,
@@ -71,6 +74,12 @@
     std::vector<OwnedRange> ranges;
 
     bool operator==(const OwnershipRecord &) const = default;
+    /// Whether ranges without an owner may be held under grants that the store has forgotten.
+    bool hasUnknownOwners() const noexcept
+    {
+        return std::any_of(predecessors.begin(), predecessors.end(),
+                           [](const PastController &past) { return past.isUnknown(); });
+    }
 };
 
 /// Whether requests for a range can be sent to its owner. The numeric values are sent to peers.
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -54,6 +54,11 @@
     /// Fences of one term, one for each order. A controller that has used them up steps down, so that a new term
     /// starts.
     std::uint64_t fencesPerTerm = 1'000'000;
+    /// Terms of one era of the store. Those of a later era are higher, whatever the store has lost.
+    std::uint64_t termsPerEra = 100'000;
+    /// A controller that is heard from, but hasn't reached the store for this long, no longer keeps others from
+    /// claiming control without knowing the owners: half of maxAuthorityWithoutStore.
+    Duration outdatedClaimDelay = std::chrono::seconds(10);
     double loadDecayFactor = 0.75; ///< Share of the key load that is kept from one planning period to the next.
 
     bool operator==(const OwnershipTiming &) const = default;
@@ -175,6 +180,12 @@
     std::uint32_t key = 0;
 };
 
+/// The store's era became known, from one of its answers or from another daemon.
+struct StoreEraSeen
+{
+    StoreEra era = 0;
+};
+
 /// The process shuts down.
 struct ControlStop
 {
@@ -182,7 +193,7 @@
 
 using ControlEvent = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
                                   ControllerHeartbeat, ControllerHeartbeatAck, ControllerResigned, ControlTargets,
-                                  ControlPeers, OrderEnded, KeyLoadReport, KeyRefused, ControlStop>;
+                                  ControlPeers, OrderEnded, KeyLoadReport, KeyRefused, StoreEraSeen, ControlStop>;
 
 // Effects.
 
@@ -264,12 +275,23 @@
 /// - A controller gives grants only for a short time after the store, or a majority of the recorded voters, confirmed
 ///   it. Voters that know a later term don't confirm it, so a later controller learns from a majority of them when it
 ///   has stopped.
+///
+/// The store may return from an older copy, in a new era. A record of an earlier era may lack owners and controllers,
+/// so these rules are added:
+/// - A new controller changes no owners until the earlier ones are known to have stopped. A majority of the voters then
+///   knows its term. A controller that a majority of its voters still follows in the new era therefore knows all
+///   owners: it writes its own record again, in a new term.
+/// - Any other daemon that claims control by an outdated record counts all owners as unknown. It grants nothing until
+///   the longest lease that an unknown controller may have granted has expired.
+/// - A write that the store answers in another era than its record's counts as failed, since revisions recur.
 class RangeControl
 {
 public:
     using Effects = std::vector<ControlEffect>;
 
-    RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing = {});
+    /// `isFirstStart`: no daemon has run before, so a store without a record has never had one.
+    RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing = {},
+                 bool isFirstStart = true);
 
     /// Processes an event and returns the effects to start, in the order of the list. None waits for the completion of
     /// an earlier one. `now` is read from a monotonic clock that also counts while the host is suspended; handle()
@@ -335,11 +357,27 @@
     void on(const OrderEnded &event);
     void on(const KeyLoadReport &event);
     void on(const KeyRefused &event);
+    void on(const StoreEraSeen &event) { learnEra(event.era); }
     void on(const ControlStop &);
 
+    // Changes of the store's era. In rangecontrol_eras.cpp.
+    void learnEra(StoreEra era);
+    /// Requires the store's record to be replaced by this controller's.
+    void requireRestore(const std::string &why);
+    /// Whether a record lacks changes that an earlier era of the store had. Without a record, whether there was one.
+    bool isOutdated(const std::optional<OwnershipRecord> &record) const noexcept;
+    /// Whether a controller that may know all owners is heard from.
+    bool isControllerHeard() const noexcept;
+    void compareWithStore(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
+    void writeRestoredRecordIfDue();
+    bool isEraKnownToAll() const;
+    PastController unknownController(Duration knownLease) const;
+
     // Election. In rangecontrol.cpp.
     void startClaimIfDue();
     void writeClaim(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
+    OwnershipRecord claimBasedOn(const OwnershipRecord &record) const;
+    void confirmOrStepDown(const OwnershipRead &event);
     void becomeController();
     void stepDown(const std::string &why);
     void adoptRecord(const OwnershipRecord &record, std::uint64_t revision);
@@ -348,9 +386,16 @@
     std::size_t claimRank() const;
     /// Whether this incarnation of a daemon is known to have ended.
     bool hasIncarnationEnded(const DaemonIdentity &identity) const;
-    /// When a majority of `voters` last confirmed this daemon, by the time that the heartbeat was sent.
-    Time majorityConfirmedAt(const std::vector<DaemonIdentity> &voters) const;
+    /// When a majority of `voters` that know at least `era` last confirmed this daemon, by the time that the heartbeat
+    /// was sent.
+    Time majorityConfirmedAt(const std::vector<DaemonIdentity> &voters, StoreEra era) const;
+    /// The same for the stored voters, and for those of a write that may have taken effect.
+    Time votersConfirmedAt(StoreEra era) const;
     bool hasAuthority() const;
+    /// Whether ranges may be taken from their owners or assigned to new ones.
+    bool mayChangeOwners() const;
+    /// When all leases that predecessors granted have expired.
+    Time inheritedLeaseBound() const noexcept;
     std::vector<DaemonIdentity> chooseVoters() const;
     bool shouldReplaceVoters() const;
     void updatePredecessors();
@@ -399,6 +444,9 @@
     Effects m_effects;
 
     Role m_role = Role::Follower;
+    bool m_isFirstStart = true;
+    StoreEra m_era = 0; ///< Highest known.
+    bool m_hasEraChanged = false; ///< Since this process started.
     std::uint64_t m_term = 0; ///< Highest known.
     std::string m_controllerId; ///< Of that term.
     std::uint64_t m_controllerSequence = 0;
@@ -426,6 +474,9 @@
     bool m_isVoterChangePending = false; ///< The store may already hold the voters of m_pendingRecord.
     bool m_isWritePending = false;
     bool m_isReadPending = false;
+    bool m_needsRestore = false; ///< The store's record is older than this controller's.
+    Time m_restoreNeededSince = 0ms;
+    std::optional<std::uint64_t> m_restoreRevision; ///< Of the record to replace, 0: there is none; unset: not known.
     Time m_nextReadAt = 0ms;
     Time m_nextWriteAt = 0ms;
     Time m_storeConfirmedAt = 0ms; ///< The store named this daemon as controller at or after this time.
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -33,11 +33,13 @@
 
 } // namespace
 
-RangeControl::RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing)
+RangeControl::RangeControl(std::string service, DaemonIdentity self, Time now, OwnershipTiming timing,
+                           bool isFirstStart)
     : m_service(std::move(service))
     , m_self(std::move(self))
     , m_timing(timing)
     , m_now(now)
+    , m_isFirstStart(isFirstStart)
     , m_controllerSeenAt(now)
 {
 }
@@ -56,6 +58,7 @@
     if (m_role == Role::Controller) {
         updatePredecessors();
         advanceRanges();
+        writeRestoredRecordIfDue();
         writeRecordIfDue();
         announceIfChanged();
         sendHeartbeatIfDue();
@@ -114,24 +117,12 @@
 
 void RangeControl::on(const OwnershipRead &event)
 {
+    if (event.era < m_era)
+        return on(OwnershipCallFailed{false}); // Of a store that a later one has replaced.
+    learnEra(event.era);
     m_isReadPending = false;
-    if (m_role == Role::Controller) {
-        // Revisions only rise: the store was read before this controller's latest write.
-        if (event.record && event.revision < m_revision)
-            return;
-        if (event.record && isOwnRecord(*event.record)) {
-            m_storeConfirmedAt = std::max(m_storeConfirmedAt, event.requestedAt);
-            // The response to a write was lost: the record shows whether the write took effect.
-            if (event.revision != m_revision)
-                resolveOwnWrite(*event.record, event.revision);
-            else if (m_isWritePending && m_now >= m_nextWriteAt)
-                m_isWritePending = false; // Written again for the same revision: at most one takes effect.
-        } else {
-            adoptRecord(event.record.value_or(OwnershipRecord{}), event.revision);
-            stepDown("the store names another controller");
-        }
-        return;
-    }
+    if (m_role == Role::Controller)
+        return m_needsRestore ? compareWithStore(event.record, event.revision) : confirmOrStepDown(event);
     if (m_role != Role::Follower || m_isStopping)
         return;
     const bool isNewTerm = event.record && event.record->term > m_term;
@@ -141,9 +132,33 @@
         if (!hasIncarnationEnded({event.record->controller, event.record->controllerIncarnation}))
             return;
     }
+    // The controller of the earlier era knows the owners and writes them again.
+    if (isOutdated(event.record) && isControllerHeard())
+        return;
     writeClaim(event.record, event.revision);
 }
 
+/// Takes the store's record as the confirmation of this controller, or steps down.
+void RangeControl::confirmOrStepDown(const OwnershipRead &event)
+{
+    // Revisions only rise within an era: the store was read before this controller's latest write.
+    if (event.record && event.revision < m_revision)
+        return;
+    if (event.record && event.record->era < m_storedRecord.era)
+        return requireRestore("a write of an earlier era has replaced the record");
+    if (event.record && isOwnRecord(*event.record)) {
+        m_storeConfirmedAt = std::max(m_storeConfirmedAt, event.requestedAt);
+        // The response to a write was lost: the record shows whether the write took effect.
+        if (event.revision != m_revision)
+            resolveOwnWrite(*event.record, event.revision);
+        else if (m_isWritePending && m_now >= m_nextWriteAt)
+            m_isWritePending = false; // Written again for the same revision: at most one takes effect.
+    } else {
+        adoptRecord(event.record.value_or(OwnershipRecord{}), event.revision);
+        stepDown("the store names another controller");
+    }
+}
+
 void RangeControl::on(const OwnershipCallFailed &event)
 {
     if (!event.wasWrite)
@@ -156,35 +171,53 @@
         m_role = Role::Follower;
 }
 
+/// Returns the first record of a new term of this daemon. The controller of `record` may still be active, and so may
+/// its own predecessors.
+OwnershipRecord RangeControl::claimBasedOn(const OwnershipRecord &record) const
+{
+    OwnershipRecord claim = record;
+    if (!claim.controller.empty()) {
+        Duration lease = claim.lease;
+        std::erase_if(claim.predecessors, [&claim, &lease](const PastController &past) {
+            if (past.identity.id != claim.controller)
+                return false;
+            lease = std::max(lease, past.lease);
+            return true;
+        });
+        claim.predecessors.push_back(
+            {{claim.controller, claim.controllerIncarnation}, claim.term, lease, claim.voters});
+    }
+    claim.era = m_era;
+    claim.term = std::max({m_term, claim.term, m_era * m_timing.termsPerEra}) + 1;
+    claim.controller = m_self.id;
+    claim.controllerIncarnation = m_self.incarnation;
+    claim.lease = leaseDuration();
+    return claim;
+}
+
 void RangeControl::writeClaim(const std::optional<OwnershipRecord> &record, std::uint64_t revision)
 {
-    m_pendingRecord = record.value_or(OwnershipRecord{});
-    // The previous controller may still be active, and so may its own predecessors.
-    Duration lease = m_pendingRecord.lease;
-    std::erase_if(m_pendingRecord.predecessors, [this, &lease](const PastController &past) {
-        if (past.identity.id != m_pendingRecord.controller)
-            return false;
-        lease = std::max(lease, past.lease);
-        return true;
-    });
-    if (!m_pendingRecord.controller.empty())
-        m_pendingRecord.predecessors.push_back({{m_pendingRecord.controller, m_pendingRecord.controllerIncarnation},
-                                                m_pendingRecord.term,
-                                                lease,
-                                                m_pendingRecord.voters});
-    m_pendingRecord.term = std::max(m_term, m_pendingRecord.term) + 1;
-    m_pendingRecord.controller = m_self.id;
-    m_pendingRecord.controllerIncarnation = m_self.incarnation;
+    m_pendingRecord = claimBasedOn(record.value_or(OwnershipRecord{}));
     m_pendingRecord.voters = chooseVoters();
-    m_pendingRecord.lease = leaseDuration();
+    if (isOutdated(record)) {
+        for (OwnedRange &owned : m_pendingRecord.ranges)
+            owned.owner = {};
+        m_pendingRecord.predecessors.push_back(unknownController(m_pendingRecord.lease));
+    }
     m_role = Role::Claiming;
-    logEvent(events::rangeControlClaimed, "term " + std::to_string(m_pendingRecord.term));
+    logEvent(events::rangeControlClaimed,
+             "term " + std::to_string(m_pendingRecord.term) + " era " + std::to_string(m_era)
+                 + (isOutdated(record) ? ": the record is outdated, the owners are unknown" : ""));
     m_effects.emplace_back(WriteOwnership{m_pendingRecord, revision});
 }
 
 void RangeControl::on(const OwnershipWritten &event)
 {
-    if (m_role == Role::Claiming) {
+    learnEra(event.era);
+    // In another era than the record's, the revision that the write required may have matched by chance.
+    if (event.era != m_era || event.era != m_pendingRecord.era)
+        return on(OwnershipCallFailed{true});
+    if (m_role == Role::Claiming || (m_role == Role::Controller && m_needsRestore && m_isWritePending)) {
         m_revision = event.revision;
         m_storeConfirmedAt = event.requestedAt;
         m_storedRecord = m_pendingRecord;
@@ -198,13 +231,22 @@
 
 void RangeControl::on(const OwnershipConflict &event)
 {
+    if (event.era < m_era)
+        return on(OwnershipCallFailed{true});
+    learnEra(event.era);
     // A write whose response was lost may have taken effect. Its repetition then conflicts with the same record.
     if (event.record == m_pendingRecord && (m_role == Role::Claiming || m_isWritePending)) {
-        on(OwnershipWritten{event.revision, m_storeConfirmedAt});
+        on(OwnershipWritten{event.revision, m_storeConfirmedAt, event.era});
         return;
     }
+    if (m_role == Role::Controller && m_needsRestore) {
+        m_isWritePending = false;
+        return compareWithStore(event.record, event.revision);
+    }
     if (m_role == Role::Controller && event.revision < m_revision)
         return; // Of an abandoned write; a later one has taken effect.
+    if (m_role == Role::Controller && event.record.era < m_storedRecord.era)
+        return requireRestore("a write of an earlier era has replaced the record");
     if (m_role == Role::Controller && isOwnRecord(event.record)) {
         resolveOwnWrite(event.record, event.revision);
         return;
@@ -259,14 +301,15 @@
     });
 }
 
-Time RangeControl::majorityConfirmedAt(const std::vector<DaemonIdentity> &voters) const
+Time RangeControl::majorityConfirmedAt(const std::vector<DaemonIdentity> &voters, StoreEra era) const
 {
     std::vector<Time> times;
     for (const DaemonIdentity &voter : voters) {
         const auto ack = m_latestAcks.find(voter.id);
         if (voter == m_self)
             times.push_back(m_now);
-        else if (ack != m_latestAcks.end() && ack->second.from == voter && ack->second.term == m_term)
+        else if (ack != m_latestAcks.end() && ack->second.from == voter && ack->second.term == m_term
+                 && ack->second.era >= era)
             times.push_back(ack->second.sentAt);
     }
     const std::size_t majority = (voters.size() / 2) + 1;
@@ -278,15 +321,19 @@
 
 /// While a write that changes the voters is pending, a majority of the old and of the new voters is required: a later
 /// controller may read either list.
+Time RangeControl::votersConfirmedAt(StoreEra era) const
+{
+    const Time byStored = majorityConfirmedAt(m_storedRecord.voters, era);
+    return m_isVoterChangePending ? std::min(byStored, majorityConfirmedAt(m_pendingRecord.voters, era)) : byStored;
+}
+
 bool RangeControl::hasAuthority() const
 {
     if (!isConfirmedByStore())
         return false;
     if (m_now - m_storeConfirmedAt < m_timing.authorityDuration)
         return true;
-    const Time byVoters
-        = std::min(majorityConfirmedAt(m_storedRecord.voters),
-                   majorityConfirmedAt(m_isVoterChangePending ? m_pendingRecord.voters : m_storedRecord.voters));
+    const Time byVoters = votersConfirmedAt(0);
     return byVoters > m_now - m_timing.authorityDuration && byVoters >= m_confirmationRequiredSince;
 }
 
@@ -326,21 +373,46 @@
         for (const DaemonIdentity &voter : past.voters)
             ids.insert(voter.id);
     }
+    const bool isAnyUnknown = std::any_of(m_activePredecessors.begin(), m_activePredecessors.end(),
+                                          [](const PastController &past) { return past.isUnknown(); });
     for (const PeerDaemon &peer : m_peers) {
-        if (ids.size() < m_timing.maxAcknowledgers)
+        if (isAnyUnknown || ids.size() < m_timing.maxAcknowledgers)
             ids.insert(peer.id);
     }
     return ids;
 }
 
+bool RangeControl::mayChangeOwners() const
+{
+    return !m_needsRestore
+        && std::all_of(m_activePredecessors.begin(), m_activePredecessors.end(),
+                       [](const PastController &past) { return past.isUnknown(); });
+}
+
+Time RangeControl::inheritedLeaseBound() const noexcept
+{
+    // The store confirms no predecessor after this term began, so each steps down after maxAuthorityWithoutStore.
+    const Time latest = m_termStartedAt + m_timing.maxAuthorityWithoutStore + m_timing.maxAuthorityWithoutStore / 100
+        + maxHoldTime(maxInheritedLease());
+    return m_activePredecessors.empty() ? std::min(m_inheritedLeaseExpiry, latest) : latest;
+}
+
 /// Removes the predecessors that have ended or lost the majority of their voters, and updates the time by which all
 /// leases that predecessors granted have expired.
 void RangeControl::updatePredecessors()
 {
     if (m_activePredecessors.empty())
         return;
-    std::erase_if(m_activePredecessors, [this](const PastController &past) {
-        if (hasIncarnationEnded(past.identity)) {
+    const auto authority = m_timing.authorityDuration + m_timing.authorityDuration / 50;
+    std::erase_if(m_activePredecessors, [this, authority](const PastController &past) {
+        if (past.isUnknown()) {
+            if (!isEraKnownToAll())
+                return false;
+            m_inheritedLeaseExpiry
+                = std::max(m_inheritedLeaseExpiry, m_now + authority + maxHoldTime(maxInheritedLease()));
+            return true;
+        }
+        if (past.identity == m_self || hasIncarnationEnded(past.identity)) {
             m_inheritedLeaseExpiry = std::max(m_inheritedLeaseExpiry, m_now + maxHoldTime(maxInheritedLease()));
             return true;
         }
@@ -354,19 +426,15 @@
               });
         if (static_cast<std::size_t>(lostVoters) <= past.voters.size() / 2)
             return false;
-        const auto authority = m_timing.authorityDuration + m_timing.authorityDuration / 50;
         m_inheritedLeaseExpiry = std::max(m_inheritedLeaseExpiry, m_now + authority + maxHoldTime(maxInheritedLease()));
         return true;
     });
-    // The store confirms no predecessor after this term began, so each steps down after maxAuthorityWithoutStore.
-    const Time latest = m_termStartedAt + m_timing.maxAuthorityWithoutStore + m_timing.maxAuthorityWithoutStore / 100
-        + maxHoldTime(maxInheritedLease());
-    const Time bound = m_activePredecessors.empty() ? std::min(m_inheritedLeaseExpiry, latest) : latest;
+    const Time bound = inheritedLeaseBound();
     for (RangeAssignment &assignment : m_assignments) {
         if (assignment.isInherited)
             assignment.leaseExpiry = bound;
     }
-    if (m_now > latest)
+    if (!m_activePredecessors.empty() && m_now > bound)
         m_activePredecessors.clear();
 }
 
@@ -382,6 +450,8 @@
     m_fenceCount = 0;
     m_announcementSequence = 0;
     m_isReadPending = false;
+    m_needsRestore = false;
+    m_restoreRevision.reset();
     m_nextReadAt = m_nextWriteAt = m_now;
     m_pendingOrders.clear();
     m_announcedRanges.clear();
@@ -390,16 +460,18 @@
     m_latestAcks.clear();
     m_activePredecessors = m_storedRecord.predecessors;
     m_inheritedLeaseExpiry = m_now + maxHoldTime(maxInheritedLease());
-    const Time latest = m_now + m_timing.maxAuthorityWithoutStore + m_timing.maxAuthorityWithoutStore / 100
-        + maxHoldTime(maxInheritedLease());
+    const bool isAnyOwnerUnknown = std::any_of(m_activePredecessors.begin(), m_activePredecessors.end(),
+                                               [](const PastController &past) { return past.isUnknown(); });
     m_assignments.clear();
     for (const OwnedRange &owned : m_storedRecord.ranges) {
         RangeAssignment assignment;
         assignment.owned = owned;
         assignment.isInherited = true;
-        assignment.phase = owned.owner.id.empty() ? Phase::Free : Phase::Granting;
-        assignment.leaseExpiry
-            = owned.owner.id.empty() ? m_now : (m_activePredecessors.empty() ? m_inheritedLeaseExpiry : latest);
+        if (!owned.owner.id.empty())
+            assignment.phase = Phase::Granting;
+        else
+            assignment.phase = isAnyOwnerUnknown ? Phase::Expiring : Phase::Free;
+        assignment.leaseExpiry = assignment.phase == Phase::Free ? m_now : inheritedLeaseBound();
         // With a fence of this term, the target rejects orders of earlier controllers once it has accepted a grant.
         assignment.owned.fence = assignment.initialFence = nextFence();
         m_assignments.push_back(assignment);
@@ -418,6 +490,7 @@
     m_role = Role::Follower;
     m_isWritePending = false;
     m_isReadPending = false;
+    m_needsRestore = false;
     m_assignments.clear();
     m_pendingOrders.clear();
     m_controllerSeenAt = m_now;
@@ -426,6 +499,7 @@
 
 void RangeControl::on(const ControllerHeartbeat &event)
 {
+    learnEra(event.era);
     if (event.term < m_term || event.from == m_self.id)
         return;
     if (event.term > m_term && m_role == Role::Controller)
@@ -443,11 +517,12 @@
     m_isControllerLeaving = event.isLeaving;
     m_controllerStoreAge = event.storeAge;
     if (event.wantsAck)
-        m_effects.emplace_back(SendHeartbeatAck{event.from, {m_service, m_self, m_term, event.sentAt}});
+        m_effects.emplace_back(SendHeartbeatAck{event.from, {m_service, m_self, m_term, event.sentAt, m_era}});
 }
 
 void RangeControl::on(const ControllerHeartbeatAck &event)
 {
+    learnEra(event.era);
     if (m_role != Role::Controller)
         return;
     ControllerHeartbeatAck &latest = m_latestAcks[event.from.id];
@@ -491,14 +566,15 @@
     if (m_now < m_nextHeartbeatAt)
         return;
     m_nextHeartbeatAt = m_now + m_timing.heartbeatInterval;
-    m_effects.emplace_back(SendHeartbeat{
-        {m_service, m_self.id, m_term, m_announcementSequence, m_now - m_storeConfirmedAt, m_isStopping, m_now, false},
-        acknowledgers()});
+    m_effects.emplace_back(SendHeartbeat{{m_service, m_self.id, m_term, m_announcementSequence,
+                                          m_now - m_storeConfirmedAt, m_isStopping, m_now, false, m_era},
+                                         acknowledgers()});
 }
 
 void RangeControl::confirmWithStoreIfDue()
 {
-    const bool isDue = !isConfirmedByStore() || m_now - m_storeConfirmedAt >= m_timing.storeConfirmationInterval;
+    const bool isDue
+        = m_needsRestore || !isConfirmedByStore() || m_now - m_storeConfirmedAt >= m_timing.storeConfirmationInterval;
     if (m_isReadPending || m_now < m_nextReadAt || !isDue)
         return;
     m_isReadPending = true;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -118,7 +118,7 @@
     switch (assignment.phase) {
     case Phase::Granting:
     case Phase::Held:
-        if (target == nullptr || target->isDraining)
+        if ((target == nullptr || target->isDraining) && mayChangeOwners())
             startRelease(assignment, {});
         else if (assignment.unansweredSince != 0ms && m_now - assignment.unansweredSince > m_timing.unresponsiveTimeout)
             startExpiry(assignment, "no response to orders");
@@ -379,7 +379,7 @@
     record.ranges.clear();
     for (RangeAssignment &assignment : m_assignments) {
         OwnedRange owned = assignment.owned;
-        if (assignment.phase == Phase::Free) {
+        if (assignment.phase == Phase::Free && mayChangeOwners()) {
             const RegisteredTarget *target = findTarget(assignment.destination);
             assignment.isWritePending = target != nullptr;
             owned.owner = target == nullptr ? TargetIdentity{} : target->identity;
@@ -394,7 +394,11 @@
 {
     if (m_isWritePending || m_now < m_nextWriteAt)
         return;
+    if (m_needsRestore)
+        return;
     if (m_assignments.empty()) {
+        if (m_storedRecord.hasUnknownOwners() && m_now < inheritedLeaseBound())
+            return;
         auto ready = readyTargets();
         if (ready.empty() || m_now - m_targetsChangedAt < m_timing.initialAssignmentDelay)
             return;
@@ -403,17 +407,19 @@
         });
         assignInitialRanges(ready);
     }
-    const bool isAnyFree
-        = std::any_of(m_assignments.begin(), m_assignments.end(),
-                      [](const RangeAssignment &assignment) { return assignment.phase == Phase::Free; });
+    const bool isAnyFree = mayChangeOwners()
+        && std::any_of(m_assignments.begin(), m_assignments.end(),
+                       [](const RangeAssignment &assignment) { return assignment.phase == Phase::Free; });
     const bool isVoterChangeDue = shouldReplaceVoters() && m_now >= m_nextVoterChangeAt;
     if (!isAnyFree && !isVoterChangeDue)
         return;
-    chooseDestinations();
+    if (isAnyFree)
+        chooseDestinations();
     const bool isAnyChosen
-        = std::any_of(m_assignments.begin(), m_assignments.end(), [this](const RangeAssignment &assignment) {
-              return assignment.phase == Phase::Free && findTarget(assignment.destination) != nullptr;
-          });
+        = isAnyFree
+        && std::any_of(m_assignments.begin(), m_assignments.end(), [this](const RangeAssignment &assignment) {
+               return assignment.phase == Phase::Free && findTarget(assignment.destination) != nullptr;
+           });
     if (!isAnyChosen && !isVoterChangeDue)
         return;
     m_pendingRecord = makeRecord();
@@ -456,7 +462,7 @@
 
 void RangeControl::planIfDue()
 {
-    if (m_now < m_nextPlanAt || !hasAuthority() || m_isStopping)
+    if (m_now < m_nextPlanAt || !hasAuthority() || !mayChangeOwners() || m_isStopping)
         return;
     m_nextPlanAt = m_now + m_timing.planInterval;
     mergeAdjacentRanges();
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -23,8 +23,10 @@
     m_daemons.resize(daemons);
     for (std::size_t index = 0; index < targets; ++index)
         addTarget("target" + std::to_string(index));
+    keepCopy();
     for (std::size_t index = 0; index < daemons; ++index)
         startDaemon(index);
+    m_hasStarted = true;
     publishPeers();
 }
 
@@ -46,14 +48,48 @@
 void RangeWorld::startDaemon(std::size_t index)
 {
     Daemon &daemon = m_daemons[index];
-    daemon.identity = {"daemon" + std::to_string(index), ++m_revision};
-    daemon.control = std::make_unique<RangeControl>(serviceName, daemon.identity, m_now, m_timing);
+    daemon.identity = {"daemon" + std::to_string(index), (m_era << 40U) + ++m_revision};
+    keepCopy();
+    daemon.control = std::make_unique<RangeControl>(serviceName, daemon.identity, m_now, m_timing, !m_hasStarted);
     daemon.inbox.clear();
     daemon.owners = {};
+    publishEra(index);
     publishTargets();
     publishPeers();
 }
 
+void RangeWorld::publishEra(std::size_t daemon)
+{
+    deliver(daemon, m_daemons[daemon].identity.incarnation, StoreEraSeen{m_era});
+}
+
+void RangeWorld::restoreStore(Duration age, Duration away)
+{
+    const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    addTrace("the store goes away and will return as of " + std::to_string(ageMs) + " ms before");
+    ++m_restoresUnderWay;
+    schedule(away, [this, copiedAt = m_now - age] {
+        --m_restoresUnderWay;
+        const auto later = std::find_if(m_copies.begin(), m_copies.end(),
+                                        [copiedAt](const StoreCopy &copy) { return copy.at > copiedAt; });
+        const StoreCopy copy = later == m_copies.begin() ? StoreCopy{} : *std::prev(later);
+        m_record = copy.record;
+        m_recordRevision = copy.recordRevision;
+        m_revision = copy.revision;
+        ++m_era;
+        keepCopy();
+        addTrace("the store is back in era " + std::to_string(m_era));
+        publishTargets();
+        // Daemons learn of the era when a call of theirs, or another daemon's notice, brings it.
+        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+            schedule(randomDelay(5, 1500), [this, index] {
+                if (m_daemons[index].control != nullptr && isStoreReachable(index))
+                    publishEra(index);
+            });
+        }
+    });
+}
+
 void RangeWorld::publishPeers()
 {
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
@@ -77,7 +113,7 @@
             entries.push_back(target.listed);
     }
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-        if (m_daemons[index].control != nullptr && !m_daemons[index].isCutFromStore && !m_isStoreDown)
+        if (m_daemons[index].control != nullptr && isStoreReachable(index))
             deliver(index, m_daemons[index].identity.incarnation, ControlTargets{entries});
     }
 }
@@ -252,10 +288,10 @@
 {
     const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
     schedule(randomDelay(2, 12), [this, index, incarnation, requestedAt = m_now] {
-        const bool isUnreachable = m_isStoreDown || m_daemons[index].isCutFromStore;
+        const bool isUnreachable = !isStoreReachable(index);
         const ControlEvent reply = isUnreachable
             ? ControlEvent(OwnershipCallFailed{false})
-            : ControlEvent(OwnershipRead{m_record, m_record ? m_revision : 0, requestedAt});
+            : ControlEvent(OwnershipRead{m_record, m_record ? m_recordRevision : 0, requestedAt, m_era});
         schedule(isUnreachable ? 400ms : randomDelay(2, 12),
                  [this, index, incarnation, reply] { deliver(index, incarnation, reply); });
     });
@@ -263,14 +299,16 @@
 
 ControlEvent RangeWorld::applyWrite(const WriteOwnership &write, Time requestedAt)
 {
-    const bool isExpected = m_record ? write.expectedRevision == m_revision : write.expectedRevision == 0;
-    if (!isExpected)
-        return OwnershipConflict{*m_record, m_revision};
+    if (!m_record && write.expectedRevision != 0)
+        return OwnershipCallFailed{true};
+    if (m_record && write.expectedRevision != m_recordRevision)
+        return OwnershipConflict{*m_record, m_recordRevision, m_era};
     if (!m_record || *m_record != write.record) {
         m_record = write.record;
-        ++m_revision;
+        m_recordRevision = ++m_revision;
+        keepCopy();
     }
-    return OwnershipWritten{m_revision, requestedAt};
+    return OwnershipWritten{m_recordRevision, requestedAt, m_era};
 }
 
 void RangeWorld::execute(std::size_t index, const WriteOwnership &effect)
@@ -280,7 +318,7 @@
     const bool isLate = isLost && chance(0.5);
     const bool isApplied = !isLost || isLate || chance(0.7);
     const Duration applyDelay = isLate ? randomDelay(1000, 6000) : randomDelay(2, 12);
-    if (m_isStoreDown || m_daemons[index].isCutFromStore) {
+    if (!isStoreReachable(index)) {
         schedule(400ms, [this, index, incarnation] { deliver(index, incarnation, OwnershipCallFailed{true}); });
         return;
     }
@@ -473,6 +511,8 @@
             publishTargets();
         }
     }
+    if (m_faults.restores && m_restoresUnderWay == 0 && chance(0.25))
+        restoreStore(randomDelay(0, 20000), randomDelay(0, 5000));
     if (!m_faults.targets && !m_faults.rebirths && !m_faults.links)
         return;
     auto victim = m_targets.begin();
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -23,6 +23,7 @@
     bool network = false; ///< Datagrams are lost.
     bool rebirths = false; ///< Other processes start at the targets' addresses, under the same or another id.
     bool links = false; ///< Links between daemons and targets are cut; orders sent meanwhile arrive after the cut.
+    bool restores = false; ///< The store returns from an older copy.
 };
 
 /// Simulates daemons, a store and targets in virtual time, with random faults from a seed. Checks at every step that no
@@ -52,6 +53,8 @@
     void freezeDaemon(std::size_t index, Duration length);
     void cutStore(std::size_t index, bool isCut) { m_daemons[index].isCutFromStore = isCut; }
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+    /// Takes the store away for `away`. It returns from the copy of `age` before now, in a new era.
+    void restoreStore(Duration age, Duration away);
     void crashTarget(const std::string &id, bool isSilent);
     void drainTarget(const std::string &id);
     /// Ends the target's process. Another one starts at once at its address; the registry lists it after `listedAfter`.
@@ -115,7 +118,22 @@
         std::function<void()> action;
     };
 
+    /// The stored record at a time.
+    struct StoreCopy
+    {
+        Time at = 0ms;
+        std::optional<OwnershipRecord> record;
+        std::uint64_t recordRevision = 0;
+        std::uint64_t revision = 0;
+    };
+
     void schedule(Duration delay, std::function<void()> action);
+    bool isStoreReachable(std::size_t daemon) const
+    {
+        return !m_isStoreDown && m_restoresUnderWay == 0 && !m_daemons[daemon].isCutFromStore;
+    }
+    void keepCopy() { m_copies.push_back({m_now, m_record, m_recordRevision, m_revision}); }
+    void publishEra(std::size_t daemon);
     void deliver(std::size_t daemon, std::uint64_t incarnation, const ControlEvent &event);
     void executeAll(std::size_t daemon, const RangeControl::Effects &effects);
     void execute(std::size_t daemon, const ReadOwnership &);
@@ -154,8 +172,13 @@
     std::map<std::string, Target> m_targets;
     bool m_isStoreDown = false;
     Time m_storeDownUntil = 0ms;
+    int m_restoresUnderWay = 0;
+    StoreEra m_era = 1;
     std::optional<OwnershipRecord> m_record;
+    std::uint64_t m_recordRevision = 0; ///< Of the record's last change.
     std::uint64_t m_revision = 100;
+    std::vector<StoreCopy> m_copies; ///< After each change, in order.
+    bool m_hasStarted = false; ///< Daemons that start now aren't the deployment's first.
     std::uint64_t m_nextIncarnation = 1;
     std::map<std::pair<std::size_t, std::string>, Time> m_linkCutUntil; ///< By daemon and target's address.
     std::map<std::uint32_t, std::map<TargetIdentity, std::uint64_t>> m_fences; ///< Highest by key and process.
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -368,7 +368,8 @@
         if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
             continue;
         if (service.control == nullptr) {
-            service.control = std::make_unique<core::RangeControl>(name, m_self, now);
+            service.control = std::make_unique<core::RangeControl>(name, m_self, now, core::OwnershipTiming{},
+                                                                   m_settings.isFirstStart);
             std::vector<core::PeerDaemon> peers;
             for (const auto &[id, peer] : m_peers)
                 peers.push_back(peer);
@@ -401,7 +402,7 @@
     m_metrics.storeReads.Increment();
     m_platform->ownership().read(service, [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
         if (reply.outcome == edges::StoreOutcome::Ok || reply.outcome == edges::StoreOutcome::Missing)
-            run(service, core::OwnershipRead{reply.record, reply.revision, asked});
+            run(service, core::OwnershipRead{reply.record, reply.revision, asked, reply.era});
         else
             run(service, core::OwnershipCallFailed{false});
     });
@@ -410,15 +411,16 @@
 void GatewayControl::act(const std::string &service, const core::WriteOwnership &effect)
 {
     m_metrics.storeWrites.Increment();
-    m_platform->ownership().write(service, effect.record, effect.expectedRevision,
-                                  [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
-                                      if (reply.outcome == edges::StoreOutcome::Ok)
-                                          run(service, core::OwnershipWritten{reply.revision, asked});
-                                      else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
-                                          run(service, core::OwnershipConflict{*reply.record, reply.revision});
-                                      else
-                                          run(service, core::OwnershipCallFailed{true});
-                                  });
+    m_platform->ownership().write(
+        service, effect.record, effect.expectedRevision,
+        [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+            if (reply.outcome == edges::StoreOutcome::Ok)
+                run(service, core::OwnershipWritten{reply.revision, asked, reply.era});
+            else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
+                run(service, core::OwnershipConflict{*reply.record, reply.revision, reply.era});
+            else
+                run(service, core::OwnershipCallFailed{true});
+        });
 }
 
 void GatewayControl::act(const std::string &service, const core::RangeOrder &effect)
