Grant keys only on connections that are older than the controller's confirmation

Cause: a target forgets the fences that it has seen when it restarts. A controller that has been replaced, but doesn't know it for up to 1.5 s, could renew on a new connection at the restarted process, under a lower fence than the former process had (docs/PLATFORM.md, 'Not closed').

Ruled out: a confirmation within the last 50 ms before a new connection (a store slowed down 60 times never gives it, and a rebirth in that time passes); renewing by the incarnation (orders can't name one).

Change: grants go out on open connections only. A controller opens them by an effect of their own and uses them once the store has confirmed it after they were opened; after half a second without the store the voters' confirmation suffices. The destination of a planned move is connected when the release begins, so that the write of the record confirms it.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -37,6 +37,11 @@
     Duration minVoterChangeInterval = std::chrono::seconds(2);
     std::size_t maxAcknowledgers = 12; ///< Daemons that acknowledge heartbeats: voters and candidates for voters.
     Duration storeConfirmationInterval = std::chrono::milliseconds(1000);
+    /// Between two confirmations for the sake of connections that were opened meanwhile.
+    Duration linkConfirmationInterval = std::chrono::milliseconds(200);
+    /// Without the store's confirmation for this long, the voters' suffices for a new connection. Longer than a read
+    /// from the slowest store that the users list.
+    Duration linkVoterDelay = std::chrono::milliseconds(500);
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     Duration controllerTimeout = std::chrono::milliseconds(700); ///< Three lost heartbeats and some delay.
     Duration claimDelayPerRank = std::chrono::milliseconds(120); ///< Longer than a store write: claims rarely collide.
@@ -155,6 +160,14 @@
     HigherFence, ///< Rejected: the target has seen a higher fence.
     Unanswered, ///< No usable response. The order may take effect later.
     Unreachable, ///< No connection. The order wasn't delivered.
+    NotConnected, ///< No connection was open, and the order may not open one. It wasn't sent.
+};
+
+/// Result of ConnectTarget.
+struct TargetConnected
+{
+    std::string address;
+    bool isOpen = false;
 };
 
 struct OrderEnded
@@ -191,9 +204,10 @@
 {
 };
 
-using ControlEvent = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
-                                  ControllerHeartbeat, ControllerHeartbeatAck, ControllerResigned, ControlTargets,
-                                  ControlPeers, OrderEnded, KeyLoadReport, KeyRefused, StoreEraSeen, ControlStop>;
+using ControlEvent
+    = std::variant<ControlTick, OwnershipRead, OwnershipCallFailed, OwnershipWritten, OwnershipConflict,
+                   ControllerHeartbeat, ControllerHeartbeatAck, ControllerResigned, ControlTargets, ControlPeers,
+                   OrderEnded, TargetConnected, KeyLoadReport, KeyRefused, StoreEraSeen, ControlStop>;
 
 // Effects.
 
@@ -209,7 +223,14 @@
     std::uint64_t expectedRevision = 0;
 };
 
-/// Orders a target to accept or to release a range. The adapter reports the result with exactly one OrderEnded.
+/// Opens one more connection to a target, for later grants. The adapter reports the result with one TargetConnected.
+struct ConnectTarget
+{
+    std::string address;
+};
+
+/// Orders a target to accept or to release a range. The adapter reports the result with exactly one OrderEnded. Grants
+/// go out on connections that are open already, releases on new ones.
 struct RangeOrder
 {
     std::uint64_t order = 0;
@@ -256,8 +277,8 @@
     std::string detail;
 };
 
-using ControlEffect = std::variant<ReadOwnership, WriteOwnership, RangeOrder, AnnounceOwners, SendHeartbeat,
-                                   SendHeartbeatAck, SendResignation, ControlLogEntry>;
+using ControlEffect = std::variant<ReadOwnership, WriteOwnership, ConnectTarget, RangeOrder, AnnounceOwners,
+                                   SendHeartbeat, SendHeartbeatAck, SendResignation, ControlLogEntry>;
 
 /// Assigns the key ranges of one sharded service to targets. Each daemon runs one instance per service.
 ///
@@ -271,6 +292,9 @@
 ///   grant under a higher fence, never a repetition of the owner's.
 /// - A range is taken from a target only after the target confirmed a release, after the longest lease that any
 ///   controller may have given it has expired, or when the registry lists a later incarnation of the target.
+/// - A grant goes out on a connection that was open when the controller was last confirmed. It can't reach a process
+/// that
+///   has started at the target's address since, unaware of the fences that a later controller sent to the former one.
 /// - A controller that was paused for long enough to be replaced reads the store before it sends any order.
 /// - A controller gives grants only for a short time after the store, or a majority of the recorded voters, confirmed
 ///   it. Voters that know a later term don't confirm it, so a later controller learns from a majority of them when it
@@ -335,6 +359,15 @@
         std::uint32_t failedConnections = 0; ///< Consecutive.
     };
 
+    /// The connections to a target's address.
+    struct TargetLink
+    {
+        bool isOpen = false;
+        bool isOpening = false;
+        Time openedAt = 0ms; ///< Of the newest connection.
+        Time openingSince = 0ms;
+    };
+
     struct PendingOrder
     {
         bool isRelease = false;
@@ -342,6 +375,8 @@
         KeyRange range;
         std::uint64_t fence = 0;
         Time previousLeaseExpiry = 0ms; ///< Restored when the order wasn't delivered.
+        std::string address;
+        Time sentAt = 0ms;
     };
 
     void on(const ControlTick &);
@@ -349,6 +384,7 @@
     void on(const OwnershipCallFailed &event);
     void on(const OwnershipWritten &event);
     void on(const OwnershipConflict &event);
+    void on(const TargetConnected &event);
     void on(const ControllerHeartbeat &event);
     void on(const ControllerHeartbeatAck &event);
     void on(const ControllerResigned &event);
@@ -405,6 +441,13 @@
     void sendHeartbeatIfDue();
     void confirmWithStoreIfDue();
 
+    // Connections to targets. In rangecontrol_links.cpp.
+    /// Whether grants may be sent to the address. If not, does what is missing.
+    bool prepareLink(const std::string &address);
+    void openLink(const std::string &address);
+    bool isConfirmedSince(Time openedAt) const;
+    bool isLinkConfirmationDue() const;
+
     // Range assignment. In rangecontrol_ranges.cpp.
     void advanceRanges();
     void advance(RangeAssignment &assignment);
@@ -418,6 +461,7 @@
     void applyWrittenRecord();
     void adoptRestartedTarget(RangeAssignment &assignment, const RegisteredTarget &target);
     void finishGrant(RangeAssignment &assignment, const PendingOrder &order, OrderEndKind end);
+    void connectionFailed(const std::string &address);
     void finishRelease(RangeAssignment &assignment, const OrderEnded &event);
     void planIfDue();
     void splitOff(const KeyRange &part);
@@ -489,6 +533,9 @@
     std::uint64_t m_nextOrderId = 1;
     std::vector<RangeAssignment> m_assignments; ///< In order, without gaps; empty before the first assignment.
     std::map<std::uint64_t, PendingOrder> m_pendingOrders;
+    std::map<std::string, TargetLink> m_links; ///< By address.
+    bool m_isLinkUnconfirmed = false; ///< A grant waits for the confirmation of its connection.
+    Time m_linkReadAt = 0ms; ///< When the store was last read for it.
     KeyLoad m_keyLoad;
     TargetSpeeds m_speeds;
     std::uint64_t m_announcementSequence = 0;
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -57,7 +57,9 @@
     std::visit([this](const auto &concrete) { on(concrete); }, event);
     if (m_role == Role::Controller) {
         updatePredecessors();
+        m_isLinkUnconfirmed = false;
         advanceRanges();
+        confirmWithStoreIfDue();
         writeRestoredRecordIfDue();
         writeRecordIfDue();
         announceIfChanged();
@@ -454,6 +456,7 @@
     m_restoreRevision.reset();
     m_nextReadAt = m_nextWriteAt = m_now;
     m_pendingOrders.clear();
+    m_links.clear();
     m_announcedRanges.clear();
     m_keyLoad = {};
     m_termStartedAt = m_now;
@@ -573,10 +576,13 @@
 
 void RangeControl::confirmWithStoreIfDue()
 {
+    const bool isForLink = isLinkConfirmationDue();
     const bool isDue
         = m_needsRestore || !isConfirmedByStore() || m_now - m_storeConfirmedAt >= m_timing.storeConfirmationInterval;
-    if (m_isReadPending || m_now < m_nextReadAt || !isDue)
+    if (m_isReadPending || (!isForLink && (m_now < m_nextReadAt || !isDue)))
         return;
+    if (isForLink)
+        m_linkReadAt = m_now;
     m_isReadPending = true;
     m_nextReadAt = m_now + m_timing.storeRetryInterval;
     m_effects.emplace_back(ReadOwnership{});
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -155,17 +155,20 @@
 void RangeControl::sendGrant(RangeAssignment &assignment)
 {
     const std::string address = addressOf(assignment.owned.owner.id);
+    if (assignment.unansweredSince == 0ms)
+        assignment.unansweredSince = m_now;
+    if (!prepareLink(address))
+        return;
     const std::uint64_t id = m_nextOrderId++;
     // No two grants share a fence. A renewal may reach another process that has started at the target's address, and
     // must not grant it keys under a fence that the owner held them with.
     assignment.owned.fence = nextFence();
-    m_pendingOrders[id]
-        = {false, assignment.owned.owner, assignment.owned.range, assignment.owned.fence, assignment.leaseExpiry};
+    m_pendingOrders[id] = {
+        false, assignment.owned.owner, assignment.owned.range, assignment.owned.fence, assignment.leaseExpiry, address,
+        m_now};
     assignment.lastOrderAt = m_now;
     assignment.nextOrderAt = m_now + m_timing.hedgedOrderDelay;
     assignment.leaseExpiry = std::max(assignment.leaseExpiry, m_now + maxHoldTime(m_storedRecord.lease));
-    if (assignment.unansweredSince == 0ms)
-        assignment.unansweredSince = m_now;
     m_effects.emplace_back(RangeOrder{id, false, assignment.owned.owner.id, address, assignment.owned.range,
                                       assignment.owned.fence, m_storedRecord.lease, m_timing.orderTimeout,
                                       m_timing.orderTimeout, assignment.handoverToken});
@@ -183,7 +186,11 @@
     assignment.owned.fence = assignment.initialFence = fence;
     assignment.releaseDeadline = m_now + m_timing.releaseTimeout;
     assignment.lastOrderAt = m_now;
-    m_pendingOrders[id] = {true, assignment.owned.owner, assignment.owned.range, fence, assignment.leaseExpiry};
+    m_pendingOrders[id]
+        = {true, assignment.owned.owner, assignment.owned.range, fence, assignment.leaseExpiry, address, m_now};
+    // The next owner's connection is confirmed by the write that records it.
+    if (const std::string next = addressOf(destination); !next.empty())
+        openLink(next);
     logEvent(events::rangeReleasing,
              text(assignment.owned.range) + " " + assignment.owned.owner.id + " to "
                  + (destination.empty() ? std::string("a target that is not chosen yet") : destination));
@@ -224,6 +231,9 @@
         return;
     const PendingOrder order = found->second;
     m_pendingOrders.erase(found);
+    TargetLink &link = m_links[order.address];
+    if (event.end == OrderEndKind::NotConnected && link.openedAt <= order.sentAt)
+        link.isOpen = false;
     for (RangeAssignment &assignment : m_assignments) {
         // Ranges may have been split or merged since the order was sent. Its result applies to the ranges that it
         // covers completely and whose owner received it under a fence of the current assignment.
@@ -263,12 +273,25 @@
         // A later controller may have granted the range. No orders are sent until the store confirms this controller.
         assignment.nextOrderAt = m_now;
         m_confirmationRequiredSince = m_now;
-    } else if (end == OrderEndKind::Unreachable) {
-        ++assignment.failedConnections;
+    } else if (end == OrderEndKind::NotConnected || end == OrderEndKind::Unreachable) {
+        assignment.nextOrderAt = m_now;
         if (!hasPendingGrant(assignment))
             assignment.leaseExpiry = std::min(assignment.leaseExpiry, order.previousLeaseExpiry);
+    }
+}
+
+/// Handles a failed connection to a target. One that other daemons still reach refuses some.
+void RangeControl::connectionFailed(const std::string &address)
+{
+    for (RangeAssignment &assignment : m_assignments) {
+        const bool isWaiting = (assignment.phase == Phase::Granting || assignment.phase == Phase::Held)
+            && m_now >= assignment.nextOrderAt && addressOf(assignment.owned.owner.id) == address;
+        if (!isWaiting)
+            continue;
+        ++assignment.failedConnections;
+        assignment.nextOrderAt = m_now + m_timing.hedgedOrderDelay;
         constexpr std::uint32_t failedConnectionThreshold = 2;
-        if (assignment.failedConnections >= failedConnectionThreshold && assignment.phase != Phase::Expiring)
+        if (assignment.failedConnections >= failedConnectionThreshold)
             startExpiry(assignment, "connections to the target fail");
     }
 }
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -383,6 +383,27 @@
     }
 }
 
+bool RangeWorld::isConnected(std::size_t daemon, const Target &target) const
+{
+    const auto connection = m_connections.find({m_daemons[daemon].identity, target.entry.address});
+    return connection != m_connections.end() && connection->second == target.entry.identity;
+}
+
+void RangeWorld::execute(std::size_t index, const ConnectTarget &effect)
+{
+    const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
+    const auto finish = [this, index, incarnation, address = effect.address](bool isOpen, Duration wait) {
+        schedule(wait, [=, this] { deliver(index, incarnation, TargetConnected{address, isOpen}); });
+    };
+    const auto cut = m_linkCutUntil.find({index, effect.address});
+    const bool isCut = cut != m_linkCutUntil.end() && cut->second > m_now;
+    const Target *recipient = targetAt(effect.address);
+    if (recipient == nullptr || recipient->isSilent || isCut)
+        return finish(false, recipient == nullptr ? randomDelay(1, 5) : Duration(400ms));
+    m_connections[{m_daemons[index].identity, effect.address}] = recipient->entry.identity;
+    finish(true, randomDelay(1, 5));
+}
+
 void RangeWorld::execute(std::size_t index, const RangeOrder &effect)
 {
     const std::uint64_t incarnation = m_daemons[index].identity.incarnation;
@@ -393,7 +414,13 @@
     };
     const Target *recipient = targetAt(effect.address);
     if (recipient == nullptr)
-        return finishOrder(OrderEndKind::Unreachable, randomDelay(1, 5));
+        return finishOrder(effect.isRelease ? OrderEndKind::Unreachable : OrderEndKind::NotConnected,
+                           randomDelay(1, 5));
+    if (!effect.isRelease && !isConnected(index, *recipient))
+        return finishOrder(OrderEndKind::NotConnected, randomDelay(1, 5));
+    // Targets close connections at any time.
+    if (chance(0.02))
+        m_connections.erase({m_daemons[index].identity, effect.address});
     const auto arrival = arrivalDelay(index, *recipient, effect.arrivalTimeout);
     if (recipient->isSilent || !arrival)
         return finishOrder(OrderEndKind::Unanswered, effect.timeout);
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -139,6 +139,9 @@
     void execute(std::size_t daemon, const ReadOwnership &);
     void execute(std::size_t daemon, const WriteOwnership &effect);
     void execute(std::size_t daemon, const RangeOrder &effect);
+    void execute(std::size_t daemon, const ConnectTarget &effect);
+    /// Whether the daemon's process has a connection to the process that runs at the address.
+    bool isConnected(std::size_t daemon, const Target &target) const;
     void execute(std::size_t daemon, const AnnounceOwners &effect);
     void execute(std::size_t daemon, const SendHeartbeat &effect);
     void execute(std::size_t daemon, const SendHeartbeatAck &effect);
@@ -180,6 +183,8 @@
     std::vector<StoreCopy> m_copies; ///< After each change, in order.
     bool m_hasStarted = false; ///< Daemons that start now aren't the deployment's first.
     std::uint64_t m_nextIncarnation = 1;
+    /// Processes at the far ends of open connections, by daemon and address.
+    std::map<std::pair<DaemonIdentity, std::string>, TargetIdentity> m_connections;
     std::map<std::pair<std::size_t, std::string>, Time> m_linkCutUntil; ///< By daemon and target's address.
     std::map<std::uint32_t, std::map<TargetIdentity, std::uint64_t>> m_fences; ///< Highest by key and process.
     std::map<std::uint32_t, std::uint64_t> m_lastFence; ///< Highest fence of a holder, by sampled key.
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -431,6 +431,13 @@
         });
 }
 
+void GatewayControl::act(const std::string &service, const core::ConnectTarget &effect)
+{
+    m_platform->orders().connect(effect.address, [this, service, address = effect.address](bool isOpen) {
+        run(service, core::TargetConnected{address, isOpen});
+    });
+}
+
 void GatewayControl::act(const std::string &, const core::AnnounceOwners &effect)
 {
     const core::RangeOwners &before = serviceOf(effect.owners.service).owners;
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -74,6 +74,7 @@
     void act(const std::string &service, const core::ReadOwnership &effect);
     void act(const std::string &service, const core::WriteOwnership &effect);
     void act(const std::string &service, const core::RangeOrder &effect);
+    void act(const std::string &service, const core::ConnectTarget &effect);
     void act(const std::string &service, const core::AnnounceOwners &effect);
     void act(const std::string &service, const core::SendHeartbeat &effect);
     void act(const std::string &service, const core::SendHeartbeatAck &effect);
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -114,6 +114,8 @@
     virtual ~RangeOrders() = default;
 
     virtual void send(const core::RangeOrder &order, Callback done) = 0;
+    /// Opens one more connection to a target's address, for grants.
+    virtual void connect(const std::string &address, std::function<void(bool isOpen)> done) = 0;
 };
 
 /// What a caller's request says to the gateway.
--- a/packages/edges/src/httptargettraffic.cpp
+++ b/packages/edges/src/httptargettraffic.cpp
@@ -25,6 +25,7 @@
     switch (end.outcome) {
     case http::ExchangeOutcome::NotSent:
     case http::ExchangeOutcome::ConnectionRefused:
+    case http::ExchangeOutcome::NoOpenConnection:
         return core::AttemptEnd::NothingSent;
     case http::ExchangeOutcome::NoResponse:
         return core::AttemptEnd::AnswerLost;
--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -16,6 +16,7 @@
 enum class ExchangeOutcome {
     NotSent, ///< Nothing was written: the peer can't have received the request.
     ConnectionRefused, ///< As NotSent: the peer's host refused the connection.
+    NoOpenConnection, ///< As NotSent: see ExchangeOptions::opensConnections.
     NoResponse, ///< At least one byte of the request was written; no byte of its response was received.
     TruncatedResponse, ///< The response began but its end wasn't received.
     Complete, ///< The whole response was received.
@@ -57,6 +58,9 @@
     /// Whether an idle connection may be used. A request that repeats an earlier one, with the same echoed header,
     /// needs a new one: a late copy of the earlier response would pass for its own.
     bool reusesConnections = true;
+    /// Whether a new connection may be opened. Otherwise the exchange ends as NoOpenConnection if no idle one is
+    /// usable.
+    bool opensConnections = true;
     /// Within this time, and within `timeout`, the request arrives at the peer's host or is withdrawn: bytes that the
     /// network has held up are not sent again afterwards, even if this process is stopped or killed meanwhile.
     std::optional<core::Duration> arrivalTimeout;
@@ -88,6 +92,8 @@
     ExchangeId send(const std::string &address, const Request &request, core::Duration timeout, Callback done);
     /// As above, with all options.
     ExchangeId send(const std::string &address, const Request &request, const ExchangeOptions &options, Callback done);
+    /// Opens a connection to `address` for later exchanges and calls `done` once, with whether it is open.
+    void connect(const std::string &address, std::function<void(bool)> done);
     /// Closes the connection of the exchange. Its callback is still called, with the outcome so far. Unknown ids are
     /// ignored.
     void cancel(ExchangeId id);
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -183,6 +183,10 @@
             m_stream = state->takeIdle(m_address, m_options.maxIdleTime);
         if (m_stream)
             return write();
+        if (!m_options.opensConnections)
+            return asio::post(state->context, [self = shared_from_this()] {
+                self->finish(ExchangeOutcome::NoOpenConnection, "no connection is open");
+            });
         const auto endpoint = internal::parseAddress(m_address);
         if (!endpoint)
             return asio::post(state->context, [self = shared_from_this()] {
@@ -371,6 +375,26 @@
     return id;
 }
 
+void Client::connect(const std::string &address, std::function<void(bool)> done)
+{
+    const auto endpoint = internal::parseAddress(address);
+    if (!endpoint)
+        return asio::post(m_state->context, [done = std::move(done)] { done(false); });
+    auto stream = std::make_shared<Stream>(std::make_unique<beast::tcp_stream>(m_state->context));
+    (*stream)->expires_after(m_state->limits.connectTimeout);
+    (*stream)->async_connect(*endpoint,
+                             [weak = std::weak_ptr(m_state), stream, address, done = std::move(done)](ErrorCode error) {
+                                 const auto state = weak.lock();
+                                 if (state && !error) {
+                                     ErrorCode ignored;
+                                     (*stream)->socket().set_option(tcp::no_delay(true), ignored);
+                                     (*stream)->expires_never();
+                                     state->addIdle(address, std::move(*stream), idleLifetime({}));
+                                 }
+                                 done(state && !error);
+                             });
+}
+
 void Client::cancel(ExchangeId id)
 {
     if (const auto found = m_state->active.find(id); found != m_state->active.end())
