List again when the platform's store has returned from an older copy

Cause: positions of watches were compared as bare revisions. After a restore the store gives revisions out again: a watch of an older revision was answered although changes were lost, notices and passed-on changes of daemons that still believed in the earlier state were taken, and news told of before the restore was asked for without end.

Change: positions are ordered by era, then revision (StorePoint). An answer of a later era, or a daemon that tells of one, leads to a list; one of an earlier era counts as a failed call. A notice of an earlier era is ignored and its sender no longer counts as a watching daemon; a daemon sends none until both its copies are of the latest era. FeedPosition::era stands last, so that the existing tests' positions keep their meaning.

Ruled out: keeping entries of a watch in a later era and listing afterwards, as deletions that the store lost stay unseen.

Tests: FakeFeed tells an era (0 as before), takeFrom() is given era 0 in two existing cases, and the codec's notice has its fields in the new order. No check was changed.

--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/feedposition.h>
 #include <sardinehinge/core/types.h>
 
 #include <map>
@@ -8,18 +9,6 @@
 
 namespace sardinehinge::core {
 
-/// How current a daemon's copy of one kind of objects in the platform's store is.
-struct FeedPosition
-{
-    StoreEra era = 0; ///< Of the revisions below.
-    std::uint64_t changedAt = 0; ///< Store revision of the latest known change.
-    std::uint64_t completeTo = 0; ///< No later change exists up to this store revision.
-    std::uint64_t relistedAt = 0; ///< Revision of the last full list after the store had dropped history; 0: none.
-                                  ///< Watches may have missed earlier changes, so followers list again too.
-
-    bool operator==(const FeedPosition &) const = default;
-};
-
 /// Sent by a watching daemon to all others. A receiver reads the store if the notice shows a change that it lacks.
 struct WatchNotice
 {
@@ -71,6 +60,9 @@
     /// Records that the store answered this daemon's watch or list of configurations or targets.
     void configsAnswered(Time now) noexcept { m_configsAnsweredAt = now; }
     void targetsAnswered(Time now) noexcept { m_targetsAnsweredAt = now; }
+    /// A daemon that still believes in an earlier era isn't followed.
+    void eraSeen(StoreEra era);
+    /// A notice of an earlier era than eraSeen() told doesn't count.
     void noticeReceived(const WatchNotice &notice, Time now);
     /// Updates and returns the mode. Call several times a second.
     Mode tick(Time now);
@@ -90,6 +82,7 @@
 
     std::string m_self;
     RosterTiming m_timing;
+    StoreEra m_era = 0; ///< The latest known.
     std::uint64_t m_rank = 0; ///< Surplus watchers with the highest rank step down.
     Mode m_mode = Mode::Standalone;
     Time m_configsAnsweredAt = Time::min() / 2;
--- a/packages/core/src/watchroster.cpp
+++ b/packages/core/src/watchroster.cpp
@@ -39,9 +39,17 @@
 {
 }
 
+void WatchRoster::eraSeen(StoreEra era)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_watchers.clear();
+}
+
 void WatchRoster::noticeReceived(const WatchNotice &notice, Time now)
 {
-    if (notice.from == m_self || notice.age < Duration(0))
+    if (notice.from == m_self || notice.age < Duration(0) || std::min(notice.configs.era, notice.targets.era) < m_era)
         return;
     const auto [found, isNew] = m_watchers.try_emplace(notice.from, now - notice.age);
     if (!isNew)
@@ -100,10 +108,10 @@
 
 std::optional<WatchNotice> WatchRoster::takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now)
 {
-    if (m_mode != Mode::Watching || !isFresh(answeredAt(), now))
+    if (m_mode != Mode::Watching || !isFresh(answeredAt(), now) || std::min(configs.era, targets.era) < m_era)
         return std::nullopt;
     const bool isNews
-        = configs.changedAt != m_announcedConfigs.changedAt || targets.changedAt != m_announcedTargets.changedAt;
+        = configs.changed() != m_announcedConfigs.changed() || targets.changed() != m_announcedTargets.changed();
     if (!isNews && now < m_nextNotice)
         return std::nullopt;
     m_nextNotice = now + m_timing.noticeInterval;
--- a/packages/core/tests/watchroster_test.cpp
+++ b/packages/core/tests/watchroster_test.cpp
@@ -191,3 +191,54 @@
     CHECK(RosterTiming::forBound(2s) == RosterTiming());
     CHECK(RosterTiming::forBound(3s).watchWait == 2s);
 }
+
+TEST_CASE("A copy's position is compared by era before revision")
+{
+    struct Case
+    {
+        FeedPosition told;
+        FeedPosition known;
+        bool isNews;
+    };
+    const auto [told, known, isNews] = GENERATE(values<Case>({
+        {{20, 30, 0, 1}, {10, 19, 0, 1}, true},
+        {{20, 30, 0, 1}, {10, 20, 0, 1}, false},
+        {{5, 5, 0, 2}, {90, 90, 0, 1}, true},
+        {{90, 90, 0, 1}, {5, 5, 0, 2}, false},
+        {{90, 90, 0, 0}, {5, 5, 0, 2}, false},
+    }));
+    CHECK(told.hasNewsFor(known) == isNews);
+}
+
+TEST_CASE("A daemon that believes in an earlier era is followed no more, and tells nothing itself")
+{
+    const FeedPosition earlier{90, 90, 0, 1};
+    const FeedPosition later{5, 5, 0, 2};
+    struct Case
+    {
+        FeedPosition configs;
+        FeedPosition targets;
+        WatchRoster::Mode mode;
+    };
+    const auto [configs, targets, mode] = GENERATE_REF(values<Case>({
+        {earlier, earlier, WatchRoster::Mode::Standalone},
+        {later, earlier, WatchRoster::Mode::Standalone},
+        {earlier, later, WatchRoster::Mode::Standalone},
+        {later, later, WatchRoster::Mode::Following},
+    }));
+    WatchRoster roster("self", 100s);
+    roster.noticeReceived({"other", earlier, earlier, 0ms}, 100s);
+    CHECK(roster.tick(100s) == WatchRoster::Mode::Following);
+    roster.eraSeen(2);
+    CHECK(roster.tick(100s) == WatchRoster::Mode::Standalone);
+    roster.noticeReceived({"other", configs, targets, 0ms}, 100s);
+    CHECK(roster.tick(100s) == mode);
+
+    WatchRoster watching("self", 100s);
+    watching.tick(100s);
+    watching.configsAnswered(102s);
+    watching.targetsAnswered(102s);
+    REQUIRE(watching.tick(102s) == WatchRoster::Mode::Watching);
+    watching.eraSeen(2);
+    CHECK(watching.takeNotice(configs, targets, 102s).has_value() == (mode == WatchRoster::Mode::Following));
+}
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -44,7 +44,8 @@
 }
 
 /// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
-/// another daemon told of; lists again when history was lost. Single-threaded, on the feed's io_context.
+/// another daemon told of; lists again when history was lost or a later era of the store is seen, and takes nothing of
+/// an earlier one. Single-threaded, on the feed's io_context.
 template<typename Value>
 class FeedWatcher
 {
@@ -58,6 +59,8 @@
         std::function<void(bool isReachable, const std::string &detail)> reached;
         /// A watch brought these entries; `base` is the revision of the change before them. May be empty.
         std::function<void(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base)> watched;
+        /// An answer, or another daemon, told of a later era. Called before its entries are handed on.
+        std::function<void(core::StoreEra)> eraSeen;
     };
 
     FeedWatcher(boost::asio::io_context &context, edges::Feed<Value> &feed, Handlers handlers, FeedTiming timing = {})
@@ -79,25 +82,40 @@
     /// Calls at most once in `pause` for changes, whoever told of them; 0: as often as FeedTiming says. For daemons
     /// that nobody else depends on.
     void setSparing(core::Duration pause) noexcept { m_sparing = pause; }
+    /// The store has reached `era`: what is known of an earlier one is listed again.
+    void eraSeen(core::StoreEra era)
+    {
+        if (era <= m_era)
+            return;
+        m_era = era;
+        m_isHistoryLost = false;
+        if (m_handlers.eraSeen)
+            m_handlers.eraSeen(era);
+        if (m_isListed)
+            listAgain();
+    }
     /// Another daemon had come so far at `answeredAt`, when the store answered it.
     void told(const core::FeedPosition &position, core::Time answeredAt)
     {
-        if (!m_isListed)
+        eraSeen(position.era);
+        if (!m_isListed || position.era < m_era)
             return;
-        if (position.relistedAt > m_listedAt)
+        if (position.relisted() > m_listedAt)
             return listAgain();
-        if (position.changedAt <= m_position.completeTo) {
+        if (!position.hasNewsFor(m_position)) {
             m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
             m_completeAt = std::max(m_completeAt, answeredAt);
-        } else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changedAt)) <= m_position.completeTo
+        } else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changed())) <= m_position.complete()
                    && m_isIdle) {
             next();
         }
     }
-    /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision`.
-    void takeFrom(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base, std::uint64_t revision)
+    /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision` of `era`.
+    void takeFrom(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base, std::uint64_t revision,
+                  core::StoreEra era)
     {
-        if (!m_isListed || m_position.completeTo < base || m_position.completeTo >= revision)
+        eraSeen(era);
+        if (!m_isListed || era < m_era || m_position.completeTo < base || m_position.completeTo >= revision)
             return;
         for (const auto &entry : entries)
             m_handlers.changed(entry);
@@ -129,24 +147,46 @@
         list({});
     }
 
+    /// Whether an answer is of an earlier era than the latest known one, such as one that was under way for long.
+    bool isOutdated(const Page &page) const noexcept
+    {
+        const bool isAnswer
+            = page.outcome == edges::StoreOutcome::Ok || page.outcome == edges::StoreOutcome::HistoryGone;
+        return isAnswer && page.era < m_era;
+    }
+
+    void failOutdated(const Page &page)
+    {
+        Page failed;
+        failed.detail = "answer of era " + std::to_string(page.era) + " after era " + std::to_string(m_era);
+        fail(failed);
+    }
+
     void list(const std::string &after)
     {
         if (after.empty())
             m_names.clear();
-        m_feed.list(after, [this, round = m_round](const Page &page) {
+        m_feed.list(after, [this, round = m_round, isFirst = after.empty()](const Page &page) {
             if (round != m_round)
                 return;
+            eraSeen(page.era);
+            if (isOutdated(page))
+                return failOutdated(page);
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
+            if (isFirst)
+                m_listEra = page.era;
+            else if (page.era != m_listEra)
+                return listAgain();
             if (!take(page))
                 return;
             if (page.hasMore && !page.entries.empty())
                 return list(page.entries.back().name);
-            m_position
-                = {page.era, page.revision, page.revision, m_isHistoryLost ? page.revision : m_position.relistedAt};
+            const std::uint64_t before = m_position.era == page.era ? m_position.relistedAt : 0;
+            m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : before, page.era};
             m_isHistoryLost = false;
-            m_listedAt = page.revision;
+            m_listedAt = m_position.complete();
             m_isListed = true;
             m_handlers.listed(m_names);
             m_completeAt = bootTime();
@@ -159,7 +199,7 @@
     /// some.
     void next()
     {
-        m_isIdle = !m_isWatching && m_newsAt <= m_position.completeTo;
+        m_isIdle = !m_isWatching && m_newsAt <= m_position.complete();
         if (m_isIdle)
             return;
         const auto pause = std::max(m_timing.pause, m_sparing);
@@ -177,6 +217,12 @@
         m_feed.watch(m_position.completeTo, wait, [this, round = m_round](const Page &page) {
             if (round != m_round)
                 return;
+            // A watch of an older revision may be answered although the store has lost changes: the list replaces it.
+            eraSeen(page.era);
+            if (round != m_round)
+                return;
+            if (isOutdated(page))
+                return failOutdated(page);
             if (page.outcome == edges::StoreOutcome::HistoryGone) {
                 m_isHistoryLost = true;
                 return listAgain();
@@ -247,10 +293,12 @@
     boost::asio::steady_timer m_timer;
     std::vector<std::string> m_names;
     core::FeedPosition m_position;
-    std::uint64_t m_listedAt = 0; ///< Store revision of the latest whole list.
+    core::StoreEra m_era = 0; ///< The latest known, and that of m_position once entries are listed.
+    core::StoreEra m_listEra = 0; ///< Of the first page of the list under way.
+    core::StorePoint m_listedAt; ///< Of the latest whole list.
     core::Time m_completeAt{};
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
-    std::uint64_t m_newsAt = 0; ///< Others know of a change there.
+    core::StorePoint m_newsAt; ///< Others know of a change there.
     core::Duration m_sparing = core::Duration(0);
     std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
     bool m_isWatching = true;
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -65,13 +65,16 @@
     , m_platform(makePlatform(m_worker.context()))
     , m_metricsServer(m_worker.context(), *this)
     , m_configs(m_worker.context(), m_platform->configs(),
-                {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
+                {[this](const auto &entry) { configChanged(entry); },
+                 [](const auto &) {},
                  [this](bool isReachable, const std::string &detail) {
                      if (isReachable)
                          m_roster.configsAnswered(bootTime());
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
-                 }},
+                 },
+                 {},
+                 [this](core::StoreEra era) { eraSeen(era); }},
                 configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
@@ -86,7 +89,8 @@
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
                     },
-                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); }},
+                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); },
+                    [this](core::StoreEra era) { eraSeen(era); }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
@@ -284,6 +288,19 @@
     return isReachable;
 }
 
+/// Takes in the store's era from wherever it was told, before anything else of that answer or message.
+void GatewayControl::eraSeen(core::StoreEra era)
+{
+    if (era <= m_era)
+        return;
+    const core::StoreEra before = std::exchange(m_era, era);
+    m_events.record(before == 0 ? Severity::Info : Severity::Warning, core::events::storeEraSeen,
+                    "era=" + std::to_string(era) + " before=" + std::to_string(before));
+    m_roster.eraSeen(era);
+    m_configs.eraSeen(era);
+    m_targetFeed.eraSeen(era);
+}
+
 /// A watching daemon takes in changes quickly, since all others learn of them from it.
 void GatewayControl::setPauses()
 {
@@ -320,7 +337,7 @@
 {
     if (m_roster.mode() != core::WatchRoster::Mode::Watching || entries.size() > mostPassedOn)
         return;
-    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}};
+    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}, m_targetFeed.position().era};
     for (const auto &entry : entries)
         changes.changes.push_back({entry.name, entry.value});
     sendToAll(changes);
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -62,6 +62,7 @@
     void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
+    void eraSeen(core::StoreEra era);
     void shareWatches();
     void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
     void setPauses();
@@ -123,6 +124,7 @@
     bool m_isResigning = false;
     std::atomic<bool> m_hasResigned = false;
     std::uint64_t m_configVersion = 0;
+    core::StoreEra m_era = 0; ///< The latest that an answer of the store or another daemon told of.
     core::TargetRegistry m_registry;
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -123,6 +123,7 @@
 void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
 {
     const core::Time now = bootTime();
+    eraSeen(std::max(message.configs.era, message.targets.era));
     m_roster.noticeReceived(message, now);
     m_configs.told(message.configs, now - message.age);
     m_targetFeed.told(message.targets, now - message.age);
@@ -133,7 +134,7 @@
     std::vector<edges::FeedEntry<core::RegisteredTarget>> entries;
     for (const protocol::TargetChange &change : message.changes)
         entries.push_back({change.id, change.target, {}});
-    m_targetFeed.takeFrom(entries, message.base, message.revision);
+    m_targetFeed.takeFrom(entries, message.base, message.revision, message.era);
 }
 
 void GatewayControl::send(const std::string &to, const protocol::GatewayMessage &message)
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -22,11 +22,15 @@
     }
 
     void answer(const Entries &entries, std::uint64_t revision, edges::StoreOutcome outcome = edges::StoreOutcome::Ok)
+    {
+        answerPage({outcome, entries, revision, false, {}, era});
+    }
+    void answerPage(const edges::FeedPage<int> &page)
     {
         REQUIRE_FALSE(calls.empty());
         const auto call = std::move(calls.front());
         calls.erase(calls.begin());
-        call.done({outcome, entries, revision, false, {}});
+        call.done(page);
     }
 
     struct Call
@@ -35,14 +39,16 @@
         Callback done;
     };
     std::vector<Call> calls;
+    core::StoreEra era = 0; ///< Told in answers.
 };
 
 /// A watcher that has listed {a: 1} at revision 10.
 struct Listed
 {
-    explicit Listed(bool isWatching, const daemon::FeedTiming &timing = shortPauses())
+    explicit Listed(bool isWatching, const daemon::FeedTiming &timing = shortPauses(), core::StoreEra era = 0)
         : watcher(context, feed, handlers(), timing)
     {
+        feed.era = era;
         watcher.setWatching(isWatching);
         watcher.start();
         feed.answer({{"a", 1, {}}}, 10);
@@ -71,16 +77,20 @@
                         values.erase(entry.name);
                 },
                 [](const auto &) {},
-                [](bool, const std::string &) {},
+                [this](bool isReachable, const std::string &) { failures += isReachable ? 0 : 1; },
                 {}};
     }
 
     boost::asio::io_context context;
     FakeFeed feed;
     std::map<std::string, int> values;
+    int failures = 0;
     daemon::FeedWatcher<int> watcher;
 };
 
+/// A call that lists, in FakeFeed::Call::revision.
+constexpr std::uint64_t listCall = 0;
+
 } // namespace
 
 TEST_CASE("A feed that is watched keeps a call waiting, one that follows calls for news only")
@@ -113,7 +123,7 @@
     const auto [base, revision, isTaken]
         = GENERATE(values<Case>({{8, 20, true}, {10, 20, true}, {12, 20, false}, {8, 10, false}}));
     Listed following(false);
-    following.watcher.takeFrom({{"a", std::nullopt, {}}, {"b", 2, {}}}, base, revision);
+    following.watcher.takeFrom({{"a", std::nullopt, {}}, {"b", 2, {}}}, base, revision, 0);
     CHECK((following.values == std::map<std::string, int>{{"b", 2}}) == isTaken);
     following.watcher.told({revision, revision}, 0ms);
     following.run();
@@ -126,7 +136,7 @@
     following.watcher.told({12, 12}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
-    following.watcher.takeFrom({{"a", 3, {}}}, 10, 15);
+    following.watcher.takeFrom({{"a", 3, {}}}, 10, 15, 0);
     following.feed.answer({{"a", 2, {}}}, 12);
     following.run();
     CHECK(following.values == std::map<std::string, int>{{"a", 3}});
@@ -188,3 +198,101 @@
     following.watcher.told({31, 31}, listed + 9s); // A change that isn't known yet.
     CHECK(following.watcher.completeAt() == listed + 5s);
 }
+
+TEST_CASE("A watch answered in a later era doesn't hide what the store has lost")
+{
+    const std::uint64_t revision = GENERATE(values<std::uint64_t>({7, 10, 30}));
+    Listed watching(true, Listed::shortPauses(), 1);
+    watching.feed.era = 2;
+    watching.feed.answer({{"b", 2, {}}}, revision);
+    watching.run();
+    REQUIRE(watching.feed.calls.size() == 1);
+    CHECK(watching.feed.calls.front().revision == listCall);
+    watching.feed.answer({{"c", 3, {}}}, revision);
+    watching.run();
+    CHECK(watching.values.contains("c"));
+    CHECK(watching.watcher.position() == core::FeedPosition{revision, revision, 0, 2});
+    REQUIRE(watching.feed.calls.size() == 1);
+    CHECK(watching.feed.calls.front().revision == revision);
+    CHECK(watching.failures == 0);
+}
+
+TEST_CASE("An answer of an earlier era, or of none, counts as a failed call")
+{
+    const core::StoreEra era = GENERATE(values<core::StoreEra>({0, 4}));
+    const auto outcome = GENERATE(edges::StoreOutcome::Ok, edges::StoreOutcome::HistoryGone);
+    daemon::FeedTiming timing = Listed::shortPauses();
+    timing.retry = timing.retryMax = 1ms;
+    Listed watching(true, timing, 5);
+    watching.feed.era = era;
+    watching.feed.answer({{"a", 9, {}}}, 40, outcome);
+    watching.run();
+    CHECK(watching.failures == 1);
+    CHECK(watching.values == std::map<std::string, int>{{"a", 1}});
+    CHECK(watching.watcher.position() == core::FeedPosition{10, 10, 0, 5});
+    REQUIRE(watching.feed.calls.size() == 1);
+    CHECK(watching.feed.calls.front().revision == 10);
+}
+
+TEST_CASE("A list whose pages are of two eras begins anew")
+{
+    Listed watching(true, Listed::shortPauses(), 1);
+    watching.feed.era = 2;
+    watching.feed.answer({}, 8);
+    watching.run();
+    watching.feed.answerPage({edges::StoreOutcome::Ok, {{"a", 1, {}}}, 8, true, {}, 2});
+    watching.feed.answerPage({edges::StoreOutcome::Ok, {{"b", 2, {}}}, 8, false, {}, 3});
+    watching.run();
+    CHECK(watching.watcher.position().era == 1);
+    watching.feed.answerPage({edges::StoreOutcome::Ok, {{"a", 1, {}}, {"b", 2, {}}}, 6, false, {}, 3});
+    watching.run();
+    CHECK(watching.watcher.position() == core::FeedPosition{6, 6, 0, 3});
+}
+
+TEST_CASE("A notice of a later era leads to a list, whatever its revisions, and one of an earlier era to nothing")
+{
+    struct Case
+    {
+        core::FeedPosition told;
+        bool lists;
+    };
+    const auto [told, lists] = GENERATE(values<Case>({
+        {{4, 4, 0, 6}, true},
+        {{10, 10, 0, 6}, true},
+        {{90, 90, 0, 6}, true},
+        {{90, 90, 0, 4}, false},
+        {{90, 90, 80, 4}, false},
+        {{90, 90, 0, 0}, false},
+    }));
+    Listed following(false, Listed::shortPauses(), 5);
+    following.watcher.told(told, 0ms);
+    following.run();
+    REQUIRE(following.feed.calls.size() == (lists ? 1 : 0));
+    CHECK(following.watcher.position() == core::FeedPosition{10, 10, 0, 5});
+    if (lists)
+        CHECK(following.feed.calls.front().revision == listCall);
+}
+
+TEST_CASE("News told of in an earlier era isn't asked for once the store has fallen behind it")
+{
+    Listed following(false, Listed::shortPauses(), 1);
+    following.watcher.told({500, 500, 0, 1}, 0ms);
+    following.run();
+    following.feed.era = 2;
+    following.feed.answer({}, 9);
+    following.run();
+    following.feed.answer({{"a", 1, {}}}, 9);
+    following.run();
+    CHECK(following.feed.calls.empty());
+    CHECK(following.watcher.position() == core::FeedPosition{9, 9, 0, 2});
+}
+
+TEST_CASE("Changes passed on in another era aren't taken")
+{
+    const core::StoreEra era = GENERATE(values<core::StoreEra>({0, 4, 5, 6}));
+    Listed following(false, Listed::shortPauses(), 5);
+    following.watcher.takeFrom({{"a", 9, {}}}, 10, 15, era);
+    following.run();
+    CHECK(following.values == std::map<std::string, int>{{"a", era == 5 ? 9 : 1}});
+    CHECK(following.feed.calls.size() == (era == 6 ? 1 : 0));
+}
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -39,8 +39,8 @@
 
 core::FeedPosition fromWire(const gatewaywire::FeedPosition &position) noexcept
 {
-    return {fromWire(position.era), fromWire(position.changedAt), fromWire(position.completeTo),
-            fromWire(position.relistedAt)};
+    return {fromWire(position.changedAt), fromWire(position.completeTo), fromWire(position.relistedAt),
+            fromWire(position.era)};
 }
 
 /// Puts each kind of message into its field of the datagram.
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -23,7 +23,7 @@
         protocol::LoadMessage{"s", {{1, 2}, {65535, 7}}, {{"a", 1.5}}},
         protocol::RefusedMessage{"s", "a", 65535},
         protocol::Hello{"10.0.0.1:7620", true, 200},
-        core::WatchNotice{"sender", {5, 17, 30, 16}, {6, 29, 31, 0}, 120ms},
+        core::WatchNotice{"sender", {17, 30, 16, 5}, {29, 31, 0, 6}, 120ms},
         protocol::TargetChanges{
             17,
             30,
