Keep removed and draining targets out when a store returns from an older copy

Cause: the first list after a restore shows targets as they were some time ago. Those that had left were used again, those that drained were ready again, and those that had come since were removed after the usual delay.

Change: an entry of the first list of a later era doesn't undo what TargetRegistry knows to be later; such an entry stays without effect until the target has written one of a higher sequence or incarnation. Removals are remembered for 120 s and 2000 targets. Entries missing from that list are kept for recoveryGrace. Event 626 names the outdated entries.

Ruled out: ordering all entries by sequence at all times. Within an era the store's order is right, and one entry of another writer with a large sequence, or a start time from a clock that was ahead, would shut the target out for good. Also ruled out: taking a removed target back because the copy's sequence is above the last known one, since writes that change nothing but the sequence show in no watch.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -65,5 +65,6 @@
 constexpr std::uint32_t watchModeChanged = 623;
 constexpr std::uint32_t taskFailed = 624;
 constexpr std::uint32_t storeEraSeen = 625;
+constexpr std::uint32_t targetEntryOutdated = 626;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/feedposition.h
+++ b/packages/core/include/sardinehinge/core/feedposition.h
@@ -6,6 +6,9 @@
 
 namespace sardinehinge::core {
 
+/// Bounds the age of the copy that the store may return from.
+constexpr Duration maxCopyAge = std::chrono::seconds(60);
+
 /// A moment in the history of the platform's store. Moments are ordered by era first: a store that has returned from an
 /// older copy gives out revisions again that it had given out before.
 struct StorePoint
--- a/packages/core/include/sardinehinge/core/targetregistry.h
+++ b/packages/core/include/sardinehinge/core/targetregistry.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <sardinehinge/core/feedposition.h>
 #include <sardinehinge/core/target.h>
 
+#include <compare>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +19,8 @@
     Duration sendMargin = std::chrono::milliseconds(300); ///< For requests that are on their way at the removal.
     Duration recoveryGrace = std::chrono::milliseconds(2100); ///< Targets renew lapsed entries within two seconds after
                                                               ///< an outage of the store.
+    Duration removalMemory = 2 * maxCopyAge; ///< A store that returns may list removed targets for this long.
+    std::size_t rememberedRemovals = 2000; ///< At about 100 bytes each.
 
     bool operator==(const RegistryTiming &) const = default;
 };
@@ -25,6 +30,16 @@
 /// An entry vanishes when its target leaves, or when a store outage outlasts the entry's lifetime. A vanished entry is
 /// therefore kept for `removalDelay`, and after an outage for at least `recoveryGrace` from its end. An entry whose
 /// removal is learnt late is kept for less: the drain bound counts from the time up to which the registry was complete.
+///
+/// Within an era of the store, entries come in the order in which they were written. The first list of a later era
+/// shows targets as they were some time ago, so an entry of it doesn't undo what is known to be later:
+/// - A target that was removed stays removed, whatever the entry's sequence: a target's writes that change nothing else
+///   may be unknown here.
+/// - A target that drains keeps draining, unless the entry's sequence is above the last known one.
+/// - An entry of a smaller incarnation changes nothing.
+/// Such an entry is outdated: it stays without effect, also when it is shown again, until the target has written one
+/// with a higher sequence or incarnation. Sequence 0 (none) is below all others, so it can't end that.
+/// An entry that is missing from that list is kept for `recoveryGrace`, as after an outage.
 class TargetRegistry
 {
 public:
@@ -33,13 +48,18 @@
     {
     }
 
-    /// Adds or replaces an entry.
-    void put(const RegisteredTarget &target, Time now);
+    /// Adds or replaces an entry. Returns false, and changes nothing, if it is outdated.
+    bool put(const RegisteredTarget &target, Time now);
     /// Marks an entry as vanished: it was deleted or can no longer be read. `completeAt`: when this registry was last
     /// known to be complete; the entry vanished after it.
     void remove(const std::string &id, Time now, Time completeAt);
     /// Marks every entry whose id isn't in `present` as vanished. Call it with the ids of a complete listing.
     void keepOnly(const std::vector<std::string> &present, Time now, Time completeAt);
+    /// The store has returned from an older copy. The entries put from now until keepOnly() are its first list.
+    void eraChanged(Time now) noexcept;
+    /// Whether an outdated entry keeps a removed target out; a list of some time later shows whether that one still
+    /// writes.
+    bool hasOutdatedRemovals() const noexcept;
     /// Suspends expiry, except of draining targets, until `recoveryGrace` after storeReconnected().
     void storeDisconnected() noexcept { m_isStoreDisconnected = true; }
     void storeReconnected(Time now) noexcept;
@@ -55,16 +75,43 @@
     const RegisteredTarget *find(const std::string &id) const noexcept;
 
 private:
+    /// Orders the entries that were written for one target.
+    struct Version
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+
+        auto operator<=>(const Version &) const = default;
+    };
+
     struct Entry
     {
         RegisteredTarget target;
         Time warmupEnd = 0ms;
         Time vanishedAt = 0ms; ///< 0: present in the registry.
         Time removalAt = 0ms; ///< Of a vanished entry, unless the store is or was away.
+        bool isLost = false; ///< Vanished from the first list of an era, so it may have been lost with the copy.
+        std::optional<Version> outdated; ///< Entries up to this one are outdated.
     };
 
+    struct Removal
+    {
+        Version version;
+        Time forgetAt = 0ms;
+        std::optional<Version> outdated; ///< As of Entry.
+    };
+
+    static Version versionOf(const RegisteredTarget &target) noexcept
+    {
+        return {target.identity.incarnation, target.sequence};
+    }
+    bool isOutdated(const RegisteredTarget &target, Time now);
+    void rememberRemoval(const RegisteredTarget &target, const std::optional<Version> &outdated, Time now);
+
     RegistryTiming m_timing;
     std::map<std::string, Entry> m_entries;
+    std::map<std::string, Removal> m_removals; ///< No id is in both maps.
+    std::optional<Time> m_eraChangedAt; ///< While the first list of an era is awaited.
     bool m_isStoreDisconnected = false;
     Time m_recoveryEnd = 0ms; ///< Until then lapsed entries may reappear.
     bool m_isChanged = false;
--- a/packages/core/src/targetregistry.cpp
+++ b/packages/core/src/targetregistry.cpp
@@ -5,12 +5,65 @@
 
 namespace sardinehinge::core {
 
-void TargetRegistry::put(const RegisteredTarget &target, Time now)
+bool TargetRegistry::put(const RegisteredTarget &target, Time now)
 {
+    if (isOutdated(target, now))
+        return false;
+    m_removals.erase(target.identity.id);
     Entry &entry = m_entries[target.identity.id];
     const bool isSame = entry.target == target && entry.vanishedAt == 0ms;
-    entry = {target, now + target.warmupLeft, 0ms, 0ms};
+    entry = {target, now + target.warmupLeft, 0ms, 0ms, false, {}};
     m_isChanged = m_isChanged || !isSame;
+    return true;
+}
+
+bool TargetRegistry::isOutdated(const RegisteredTarget &target, Time now)
+{
+    const Version version = versionOf(target);
+    if (const auto removal = m_removals.find(target.identity.id); removal != m_removals.end()) {
+        auto &[known, forgetAt, outdated] = removal->second;
+        if (m_eraChangedAt && version.incarnation <= known.incarnation)
+            outdated = std::max(outdated, std::optional(version));
+        if (!outdated || version > *outdated)
+            return false;
+        forgetAt = now + m_timing.removalMemory;
+        return true;
+    }
+    const auto found = m_entries.find(target.identity.id);
+    if (found == m_entries.end())
+        return false;
+    Entry &entry = found->second;
+    if (m_eraChangedAt) {
+        const Version known = versionOf(entry.target);
+        const bool hasLeft = entry.vanishedAt != 0ms && !entry.isLost;
+        const bool isUndone = (hasLeft && version.incarnation == known.incarnation)
+            || (entry.target.isDraining && !target.isDraining && version <= known);
+        if (isUndone || version.incarnation < known.incarnation)
+            entry.outdated = std::max(entry.outdated, std::optional(version));
+    }
+    return entry.outdated && version <= *entry.outdated;
+}
+
+void TargetRegistry::rememberRemoval(const RegisteredTarget &target, const std::optional<Version> &outdated, Time now)
+{
+    if (m_removals.size() >= m_timing.rememberedRemovals) {
+        m_removals.erase(
+            std::min_element(m_removals.begin(), m_removals.end(), [](const auto &left, const auto &right) {
+                return left.second.forgetAt < right.second.forgetAt;
+            }));
+    }
+    m_removals[target.identity.id] = {versionOf(target), now + m_timing.removalMemory, outdated};
+}
+
+void TargetRegistry::eraChanged(Time now) noexcept
+{
+    m_eraChangedAt = now;
+}
+
+bool TargetRegistry::hasOutdatedRemovals() const noexcept
+{
+    return std::any_of(m_removals.begin(), m_removals.end(),
+                       [](const auto &removal) { return removal.second.outdated.has_value(); });
 }
 
 void TargetRegistry::remove(const std::string &id, Time now, Time completeAt)
@@ -25,9 +78,15 @@
 
 void TargetRegistry::keepOnly(const std::vector<std::string> &present, Time now, Time completeAt)
 {
-    for (const auto &[id, entry] : m_entries) {
-        if (std::find(present.begin(), present.end(), id) == present.end())
-            remove(id, now, completeAt);
+    const auto eraChangedAt = std::exchange(m_eraChangedAt, std::nullopt);
+    for (auto &[id, entry] : m_entries) {
+        if (entry.vanishedAt != 0ms || std::find(present.begin(), present.end(), id) != present.end())
+            continue;
+        remove(id, now, completeAt);
+        if (eraChangedAt) {
+            entry.removalAt = *eraChangedAt + m_timing.recoveryGrace;
+            entry.isLost = true;
+        }
     }
 }
 
@@ -50,8 +109,12 @@
         if (isDue && isStoreReliable)
             expired.push_back(id);
     }
-    for (const std::string &id : expired)
+    for (const std::string &id : expired) {
+        const Entry &entry = m_entries.at(id);
+        rememberRemoval(entry.target, entry.outdated, now);
         m_entries.erase(id);
+    }
+    std::erase_if(m_removals, [now](const auto &removal) { return now >= removal.second.forgetAt; });
     m_isChanged = m_isChanged || !expired.empty();
     return expired;
 }
--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -191,6 +191,110 @@
     }
 }
 
+TEST_CASE("A store that returns from an older copy brings no target back that had left or was draining")
+{
+    // The last known entry is of incarnation 2 and sequence 10.
+    enum class Known { Ready, Draining, Removed, LongRemoved };
+    struct Case
+    {
+        std::string name;
+        Known known;
+        std::uint64_t incarnation; ///< Of the ready entry that the first list of the new era shows.
+        std::uint64_t sequence;
+        bool isUsed; ///< As ready, after that list.
+    };
+    const auto [name, known, incarnation, sequence, isUsed] = GENERATE(values<Case>({
+        {"older entry of a ready target", Known::Ready, 2, 9, true},
+        {"draining, older entry", Known::Draining, 2, 9, false},
+        {"draining, the same sequence", Known::Draining, 2, 10, false},
+        {"draining, written anew", Known::Draining, 2, 11, true},
+        {"draining, another life since", Known::Draining, 3, 1, true},
+        {"draining, an earlier life", Known::Draining, 1, 50, false},
+        {"draining, without a sequence", Known::Draining, 2, 0, false},
+        {"removed, older entry", Known::Removed, 2, 9, false},
+        {"removed, later heartbeats unknown here", Known::Removed, 2, 30, false},
+        {"removed, another life since", Known::Removed, 3, 1, true},
+        {"removed, an earlier life", Known::Removed, 1, 50, false},
+        {"removed, without a sequence", Known::Removed, 2, 0, false},
+        {"removed and deleted, older entry", Known::LongRemoved, 2, 9, false},
+        {"removed and deleted, later heartbeats unknown here", Known::LongRemoved, 2, 30, false},
+        {"removed and deleted, another life since", Known::LongRemoved, 3, 1, true},
+        {"removed and deleted, an earlier life", Known::LongRemoved, 1, 50, false},
+        {"removed and deleted, without a sequence", Known::LongRemoved, 2, 0, false},
+    }));
+    INFO(name);
+    const auto isReady = [](const TargetRegistry &registry) {
+        const RegisteredTarget *target = registry.find("a");
+        return target != nullptr && !target->isDraining;
+    };
+    const auto entry = [](std::uint64_t ofIncarnation, std::uint64_t ofSequence) {
+        RegisteredTarget target = targetOf("a");
+        target.identity.incarnation = ofIncarnation;
+        target.sequence = ofSequence;
+        return target;
+    };
+    TargetRegistry registry;
+    RegisteredTarget last = entry(2, 10);
+    last.isDraining = known == Known::Draining;
+    registry.put(last, 0s);
+    if (known == Known::Removed || known == Known::LongRemoved)
+        registry.remove("a", 10s, 10s);
+    const Time restoredAt = known == Known::LongRemoved ? 30s : 10500ms;
+    registry.expire(restoredAt);
+
+    registry.eraChanged(restoredAt);
+    CHECK(registry.put(entry(incarnation, sequence), restoredAt) == isUsed);
+    registry.keepOnly({"a"}, restoredAt, restoredAt);
+    registry.expire(restoredAt + 1s);
+    CHECK(isReady(registry) == isUsed);
+    // Another list shows the same entry.
+    registry.put(entry(incarnation, sequence), restoredAt + 2s);
+    CHECK(isReady(registry) == isUsed);
+    CHECK(registry.hasOutdatedRemovals() == (!isUsed && known != Known::Draining));
+    // The target writes.
+    CHECK(registry.put(entry(std::max<std::uint64_t>(incarnation, 2), sequence + 20), restoredAt + 3s));
+    CHECK(isReady(registry));
+    CHECK_FALSE(registry.hasOutdatedRemovals());
+}
+
+TEST_CASE("Targets that a store has lost with its latest changes are kept until they have written again")
+{
+    TargetRegistry registry;
+    for (const std::string id : {"lost", "back", "gone"})
+        registry.put(targetOf(id), 0s);
+    registry.put(targetOf("draining", true), 0s);
+    registry.remove("gone", 9800ms, 9800ms);
+    registry.eraChanged(10s);
+    registry.keepOnly({}, 10100ms, 9s);
+    CHECK(registry.expire(10100ms) == std::vector<std::string>{"draining"});
+    CHECK(registry.expire(10900ms) == std::vector<std::string>{"gone"});
+    CHECK(registry.put(targetOf("back"), 11s));
+    CHECK(registry.expire(12s).empty());
+    CHECK(registry.expire(12200ms) == std::vector<std::string>{"lost"});
+    CHECK(idsOf(registry, 13s) == std::vector<std::string>{"back"});
+}
+
+TEST_CASE("Removed targets are remembered for a bounded time and number")
+{
+    RegistryTiming timing;
+    timing.rememberedRemovals = 2;
+    TargetRegistry registry(timing);
+    int second = 10;
+    for (const std::string id : {"a", "b", "c"}) {
+        registry.put(targetOf(id), 0s);
+        registry.remove(id, std::chrono::seconds(second), std::chrono::seconds(second));
+        registry.expire(std::chrono::seconds(++second));
+    }
+    const bool isForgotten = GENERATE(false, true);
+    const Time restoredAt = isForgotten ? 13s + timing.removalMemory : 20s;
+    registry.expire(restoredAt);
+    registry.eraChanged(restoredAt);
+    CHECK(registry.put(targetOf("a"), restoredAt));
+    CHECK(registry.put(targetOf("b"), restoredAt) == isForgotten);
+    CHECK(registry.put(targetOf("c"), restoredAt) == isForgotten);
+    CHECK(timing.removalMemory > maxCopyAge);
+}
+
 TEST_CASE("Slow, failing, remote and warming targets cost more, and unreachable ones are ejected")
 {
     const auto scoreAfter = [](TargetObservation observation, Duration taken, int times) {
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -249,13 +249,17 @@
     const core::Time now = bootTime();
     if (entry.value) {
         const core::RegisteredTarget *known = m_registry.find(entry.name);
-        if (known == nullptr || known->identity != entry.value->identity
-            || known->isDraining != entry.value->isDraining)
+        const bool isNews = known == nullptr || known->identity != entry.value->identity
+            || known->isDraining != entry.value->isDraining;
+        const std::string detail = "target=" + entry.name + " service=" + entry.value->service
+            + " address=" + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation);
+        if (!m_registry.put(*entry.value, now))
+            m_events.record(Severity::Info, core::events::targetEntryOutdated,
+                            detail + " sequence=" + std::to_string(entry.value->sequence));
+        else if (isNews)
             m_events.record(Severity::Info,
                             entry.value->isDraining ? core::events::targetDraining : core::events::targetRegistered,
-                            "target=" + entry.name + " service=" + entry.value->service + " address="
-                                + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation));
-        m_registry.put(*entry.value, now);
+                            detail);
     } else {
         if (!entry.fault.empty())
             m_events.record(Severity::Warning, core::events::targetEntryRefused,
@@ -294,9 +298,12 @@
     if (era <= m_era)
         return;
     const core::StoreEra before = std::exchange(m_era, era);
-    m_events.record(before == 0 ? Severity::Info : Severity::Warning, core::events::storeEraSeen,
+    const bool isFirst = before == 0 && !m_hasTargets;
+    m_events.record(isFirst ? Severity::Info : Severity::Warning, core::events::storeEraSeen,
                     "era=" + std::to_string(era) + " before=" + std::to_string(before));
     m_roster.eraSeen(era);
+    if (!isFirst)
+        m_registry.eraChanged(bootTime());
     m_configs.eraSeen(era);
     m_targetFeed.eraSeen(era);
 }
