Enter again and list the other daemons once more after the store's era changed

Cause: a daemon's entry in the platform's registry may be lost with the store's latest changes, and daemons list the others only once: one that starts later, or at the same time, wouldn't hear of it. An entry of an earlier life may be listed again.

Change: after an era change a daemon whose entry was confirmed less than 60 s before enters again under the same incarnation, at a random moment within 2 s; all list their peers once more after 5 to 7 s, and 5 s after their own start. A list doesn't replace the address that a peer's datagrams come from. If outdated entries keep removed targets out, the targets are listed once more at that time. The registry's functions move to gatewaycontrol_peers.cpp.

Ruled out: watching the peers' entries, which costs a call a second for each daemon.

Tests: FeedWatcher's handlers have a field more in feedwatcher_test.cpp.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -126,6 +126,12 @@
     /// that they bring are later than this.
     core::Time completeAt() const noexcept { return m_completeAt; }
 
+    /// Lists all entries again, although none is known to be missing.
+    void listAnew()
+    {
+        if (m_isListed)
+            listAgain();
+    }
     /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
     void retryNow()
     {
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -14,8 +14,11 @@
 constexpr std::size_t reportRing = 4096;
 /// Ownership is driven this often: a tenth of a renewal period.
 constexpr std::chrono::milliseconds timerStep(50);
-/// Between two tries to enter this daemon into the platform's registry.
-constexpr std::chrono::milliseconds enterRetry(500);
+/// The entries that were lost with the store's latest changes are written again within this time, so that the fleet's
+/// calls are spread.
+constexpr std::chrono::milliseconds reenterSpread(2000);
+/// After an era change, until those entries are surely there again.
+constexpr std::chrono::milliseconds relistDelay(5000);
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
@@ -62,6 +65,8 @@
     , m_tellTraffic(std::move(tellTraffic))
     , m_timer(m_worker.context())
     , m_enterTimer(m_worker.context())
+    , m_peersTimer(m_worker.context())
+    , m_relistTimer(m_worker.context())
     , m_platform(makePlatform(m_worker.context()))
     , m_metricsServer(m_worker.context(), *this)
     , m_configs(m_worker.context(), m_platform->configs(),
@@ -158,74 +163,6 @@
     return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
 }
 
-/// The registry's revision of the entry names this life of the daemon: until it is known, this daemon takes no part in
-/// control.
-void GatewayControl::enter()
-{
-    m_metrics.storeWrites.Increment();
-    const core::PeerDaemon self{m_settings.id, 0, m_settings.peerAddress, m_settings.linkMbps};
-    m_platform->peers().enter(self, [this](edges::StoreOutcome outcome, std::uint64_t revision) {
-        if (outcome != edges::StoreOutcome::Ok || revision == 0) {
-            m_enterTimer.expires_after(enterRetry);
-            m_enterTimer.async_wait([this](const boost::system::error_code &error) {
-                if (!error)
-                    enter();
-            });
-            return;
-        }
-        m_self.incarnation = revision;
-        m_hasEntered = true;
-        watchPeers();
-    });
-}
-
-/// Lists the other daemons once; later ones make themselves known.
-void GatewayControl::watchPeers()
-{
-    m_metrics.listReads.Increment();
-    m_platform->peers().list({}, [this](const edges::FeedPage<core::PeerDaemon> &page) {
-        for (const auto &entry : page.entries) {
-            if (entry.value && entry.name != m_self.id)
-                addPeer(*entry.value);
-        }
-        if (page.outcome == edges::StoreOutcome::Ok) {
-            sendToAll(protocol::Hello{m_settings.peerAddress, false, m_settings.linkMbps});
-            return;
-        }
-        m_enterTimer.expires_after(enterRetry);
-        m_enterTimer.async_wait([this](const boost::system::error_code &error) {
-            if (!error)
-                watchPeers();
-        });
-    });
-}
-
-void GatewayControl::addPeer(const core::PeerDaemon &peer)
-{
-    auto &known = m_peers[peer.id];
-    core::PeerDaemon merged = peer;
-    if (merged.linkMbps == 0)
-        merged.linkMbps = known.linkMbps; // Only entries and greetings tell it.
-    if (peer.incarnation < known.incarnation || known == merged)
-        return;
-    known = merged;
-    m_events.record(Severity::Info, core::events::peerJoined,
-                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
-                        + " address=" + peer.address);
-    publishPeers();
-}
-
-void GatewayControl::publishPeers()
-{
-    std::vector<core::PeerDaemon> peers;
-    for (const auto &[id, peer] : m_peers)
-        peers.push_back(peer);
-    m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
-    setPauses();
-    for (const auto &[name, service] : m_services)
-        run(name, core::ControlPeers{peers, m_settings.linkMbps});
-}
-
 void GatewayControl::configChanged(const edges::FeedEntry<core::GatewayConfig> &entry)
 {
     if (!entry.value) {
@@ -306,6 +243,19 @@
         m_registry.eraChanged(bootTime());
     m_configs.eraSeen(era);
     m_targetFeed.eraSeen(era);
+    if (isFirst)
+        return;
+    const auto spread = [this] {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<std::chrono::milliseconds::rep>(0, reenterSpread.count())(m_random));
+    };
+    if (m_hasEntered && bootTime() - m_enteredAt < core::maxCopyAge)
+        callAfter(m_enterTimer, spread(), [this] { enter(); });
+    callAfter(m_relistTimer, relistDelay + spread(), [this] {
+        listPeers();
+        if (m_registry.hasOutdatedRemovals())
+            m_targetFeed.listAnew();
+    });
 }
 
 /// A watching daemon takes in changes quickly, since all others learn of them from it.
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -20,6 +20,7 @@
 #include <array>
 #include <atomic>
 #include <map>
+#include <random>
 
 namespace sardinehinge::daemon {
 
@@ -45,6 +46,8 @@
     bool hasResigned() const noexcept { return m_hasResigned.load(); }
 
 private:
+    static void callAfter(boost::asio::steady_timer &timer, core::Duration wait, std::function<void()> action);
+
     /// One sharded service.
     struct Service
     {
@@ -57,8 +60,6 @@
     void callerDisconnected(std::uint64_t) override { }
     http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
 
-    void enter();
-    void watchPeers();
     void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
@@ -67,8 +68,6 @@
     void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
     void setPauses();
     void publishTargets();
-    void addPeer(const core::PeerDaemon &peer);
-    void publishPeers();
     Service &serviceOf(const std::string &name);
     void onTimer();
     void run(const std::string &service, const core::ControlEvent &event);
@@ -84,7 +83,11 @@
     void take(const core::OwnerRefused &report);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
-    // Datagrams. In gatewaycontrol_peers.cpp.
+    // The other daemons. In gatewaycontrol_peers.cpp.
+    void enter();
+    void listPeers();
+    void addPeer(const core::PeerDaemon &peer);
+    void publishPeers();
     void receive();
     void received(const std::string &bytes, const boost::asio::ip::udp::endpoint &source);
     void heard(const std::string &from, const core::RangeOwners &message);
@@ -108,6 +111,8 @@
     Worker m_worker{"control"};
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_enterTimer;
+    boost::asio::steady_timer m_peersTimer;
+    boost::asio::steady_timer m_relistTimer;
     std::unique_ptr<edges::GatewayPlatform> m_platform;
     http::Server m_metricsServer;
     FeedWatcher<core::GatewayConfig> m_configs;
@@ -118,6 +123,9 @@
     Ring<FromTraffic> m_reports;
     core::DaemonIdentity m_self;
     bool m_hasEntered = false;
+    core::Time m_enteredAt{}; ///< When the store last confirmed this daemon's entry.
+    bool m_hasGreeted = false; ///< All that were known after the first list.
+    std::mt19937 m_random{std::random_device{}()};
     bool m_hasTargets = false;
     bool m_isPublicationScheduled = false;
     bool m_isReachable = true;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -6,11 +6,15 @@
 
 #include <algorithm>
 
-/// The datagrams of GatewayControl: what other daemons say, and what is said to them.
+/// The other daemons as GatewayControl knows them: their entries in the platform's registry, and datagrams.
 namespace sardinehinge::daemon {
 
 namespace {
 
+/// Between two tries of a call for the registry of daemons.
+constexpr std::chrono::milliseconds storeRetry(500);
+/// From this daemon's entry to the second list of the others: several tries of one that started at the same time.
+constexpr std::chrono::milliseconds secondListDelay(5000);
 /// Between two whole lists of owners, on average: at some 5 KB for 240 owners they take a quarter of a link of 10
 /// Mbit/s.
 constexpr std::chrono::milliseconds wholeStep(16);
@@ -19,6 +23,90 @@
 
 } // namespace
 
+/// Replaces what the timer waits for.
+void GatewayControl::callAfter(boost::asio::steady_timer &timer, core::Duration wait, std::function<void()> action)
+{
+    timer.expires_after(wait);
+    timer.async_wait([action = std::move(action)](const boost::system::error_code &error) {
+        if (!error)
+            action();
+    });
+}
+
+/// The registry's revision of the entry names this life of the daemon: until it is known, this daemon takes no part in
+/// control. Called again when the store may have lost the entry, which then is written under the same incarnation.
+void GatewayControl::enter()
+{
+    m_metrics.storeWrites.Increment();
+    const core::PeerDaemon self{m_settings.id, m_self.incarnation, m_settings.peerAddress, m_settings.linkMbps};
+    m_platform->peers().enter(self, [this, era = m_era](edges::StoreOutcome outcome, std::uint64_t incarnation) {
+        // What was entered before an era change may be lost.
+        const bool isOutdated = m_era != era && era != 0;
+        if (outcome != edges::StoreOutcome::Ok || incarnation == 0 || isOutdated)
+            return callAfter(m_enterTimer, storeRetry, [this] { enter(); });
+        m_enteredAt = bootTime();
+        m_self.incarnation = incarnation;
+        if (std::exchange(m_hasEntered, true))
+            return;
+        listPeers();
+        callAfter(m_relistTimer, secondListDelay, [this] { listPeers(); });
+    });
+}
+
+/// Lists the other daemons: at the start, once more for those that started at the same time, and after an era change.
+/// All others make themselves known.
+void GatewayControl::listPeers()
+{
+    m_metrics.listReads.Increment();
+    m_platform->peers().list({}, [this](const edges::FeedPage<core::PeerDaemon> &page) {
+        eraSeen(page.era);
+        if (page.outcome != edges::StoreOutcome::Ok || page.era < m_era)
+            return callAfter(m_peersTimer, storeRetry, [this] { listPeers(); });
+        const protocol::Hello hello{m_settings.peerAddress, false, m_settings.linkMbps};
+        for (const auto &entry : page.entries) {
+            if (!entry.value || entry.name == m_self.id)
+                continue;
+            const auto known = m_peers.find(entry.name);
+            const bool isNew = known == m_peers.end() || known->second.incarnation < entry.value->incarnation;
+            core::PeerDaemon peer = *entry.value;
+            // The address that its datagrams come from is the one to answer to.
+            if (!isNew)
+                peer.address = known->second.address;
+            addPeer(peer);
+            if (isNew && m_hasGreeted)
+                send(entry.name, hello);
+        }
+        if (!std::exchange(m_hasGreeted, true))
+            sendToAll(hello);
+    });
+}
+
+void GatewayControl::addPeer(const core::PeerDaemon &peer)
+{
+    auto &known = m_peers[peer.id];
+    core::PeerDaemon merged = peer;
+    if (merged.linkMbps == 0)
+        merged.linkMbps = known.linkMbps; // Only entries and greetings tell it.
+    if (peer.incarnation < known.incarnation || known == merged)
+        return;
+    known = merged;
+    m_events.record(Severity::Info, core::events::peerJoined,
+                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
+                        + " address=" + peer.address);
+    publishPeers();
+}
+
+void GatewayControl::publishPeers()
+{
+    std::vector<core::PeerDaemon> peers;
+    for (const auto &[id, peer] : m_peers)
+        peers.push_back(peer);
+    m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
+    setPauses();
+    for (const auto &[name, service] : m_services)
+        run(name, core::ControlPeers{peers, m_settings.linkMbps});
+}
+
 void GatewayControl::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_from,
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -78,6 +78,7 @@
                 },
                 [](const auto &) {},
                 [this](bool isReachable, const std::string &) { failures += isReachable ? 0 : 1; },
+                {},
                 {}};
     }
 
