--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -64,6 +64,8 @@
 constexpr std::uint32_t peerJoined = 622;
 constexpr std::uint32_t watchModeChanged = 623;
 constexpr std::uint32_t taskFailed = 624;
-constexpr std::uint32_t rangeRestoreNeeded = 630;
+constexpr std::uint32_t storeEraSeen = 625;
+constexpr std::uint32_t targetEntryOutdated = 626;
+constexpr std::uint32_t rangeRestoreNeeded = 627;
 
 } // namespace sardinehinge::core::events
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -14,8 +14,11 @@
 constexpr std::size_t reportRing = 4096;
 /// Ownership is driven this often: a tenth of a renewal period.
 constexpr std::chrono::milliseconds timerStep(50);
-/// Between two tries to enter this daemon into the platform's registry.
-constexpr std::chrono::milliseconds enterRetry(500);
+/// The entries that were lost with the store's latest changes are written again within this time, so that the fleet's
+/// calls are spread.
+constexpr std::chrono::milliseconds reenterSpread(2000);
+/// After an era change, until those entries are surely there again.
+constexpr std::chrono::milliseconds relistDelay(5000);
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
@@ -62,16 +65,21 @@
     , m_tellTraffic(std::move(tellTraffic))
     , m_timer(m_worker.context())
     , m_enterTimer(m_worker.context())
+    , m_peersTimer(m_worker.context())
+    , m_relistTimer(m_worker.context())
     , m_platform(makePlatform(m_worker.context()))
     , m_metricsServer(m_worker.context(), *this)
     , m_configs(m_worker.context(), m_platform->configs(),
-                {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
+                {[this](const auto &entry) { configChanged(entry); },
+                 [](const auto &) {},
                  [this](bool isReachable, const std::string &detail) {
                      if (isReachable)
                          m_roster.configsAnswered(bootTime());
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
-                 }},
+                 },
+                 {},
+                 [this](core::StoreEra era) { eraSeen(era); }},
                 configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
@@ -86,7 +94,8 @@
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
                     },
-                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); }},
+                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); },
+                    [this](core::StoreEra era) { eraSeen(era); }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
@@ -154,74 +163,6 @@
     return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
 }
 
-/// The registry's revision of the entry names this life of the daemon: until it is known, this daemon takes no part in
-/// control.
-void GatewayControl::enter()
-{
-    m_metrics.storeWrites.Increment();
-    const core::PeerDaemon self{m_settings.id, 0, m_settings.peerAddress, m_settings.linkMbps};
-    m_platform->peers().enter(self, [this](edges::StoreOutcome outcome, std::uint64_t revision) {
-        if (outcome != edges::StoreOutcome::Ok || revision == 0) {
-            m_enterTimer.expires_after(enterRetry);
-            m_enterTimer.async_wait([this](const boost::system::error_code &error) {
-                if (!error)
-                    enter();
-            });
-            return;
-        }
-        m_self.incarnation = revision;
-        m_hasEntered = true;
-        watchPeers();
-    });
-}
-
-/// Lists the other daemons once; later ones make themselves known.
-void GatewayControl::watchPeers()
-{
-    m_metrics.listReads.Increment();
-    m_platform->peers().list({}, [this](const edges::FeedPage<core::PeerDaemon> &page) {
-        for (const auto &entry : page.entries) {
-            if (entry.value && entry.name != m_self.id)
-                addPeer(*entry.value);
-        }
-        if (page.outcome == edges::StoreOutcome::Ok) {
-            sendToAll(protocol::Hello{m_settings.peerAddress, false, m_settings.linkMbps});
-            return;
-        }
-        m_enterTimer.expires_after(enterRetry);
-        m_enterTimer.async_wait([this](const boost::system::error_code &error) {
-            if (!error)
-                watchPeers();
-        });
-    });
-}
-
-void GatewayControl::addPeer(const core::PeerDaemon &peer)
-{
-    auto &known = m_peers[peer.id];
-    core::PeerDaemon merged = peer;
-    if (merged.linkMbps == 0)
-        merged.linkMbps = known.linkMbps; // Only entries and greetings tell it.
-    if (peer.incarnation < known.incarnation || known == merged)
-        return;
-    known = merged;
-    m_events.record(Severity::Info, core::events::peerJoined,
-                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
-                        + " address=" + peer.address);
-    publishPeers();
-}
-
-void GatewayControl::publishPeers()
-{
-    std::vector<core::PeerDaemon> peers;
-    for (const auto &[id, peer] : m_peers)
-        peers.push_back(peer);
-    m_tellTraffic(GatewayDaemonsUpdate{peers.size() + 1});
-    setPauses();
-    for (const auto &[name, service] : m_services)
-        run(name, core::ControlPeers{peers, m_settings.linkMbps});
-}
-
 void GatewayControl::configChanged(const edges::FeedEntry<core::GatewayConfig> &entry)
 {
     if (!entry.value) {
@@ -245,13 +186,17 @@
     const core::Time now = bootTime();
     if (entry.value) {
         const core::RegisteredTarget *known = m_registry.find(entry.name);
-        if (known == nullptr || known->identity != entry.value->identity
-            || known->isDraining != entry.value->isDraining)
+        const bool isNews = known == nullptr || known->identity != entry.value->identity
+            || known->isDraining != entry.value->isDraining;
+        const std::string detail = "target=" + entry.name + " service=" + entry.value->service
+            + " address=" + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation);
+        if (!m_registry.put(*entry.value, now))
+            m_events.record(Severity::Info, core::events::targetEntryOutdated,
+                            detail + " sequence=" + std::to_string(entry.value->sequence));
+        else if (isNews)
             m_events.record(Severity::Info,
                             entry.value->isDraining ? core::events::targetDraining : core::events::targetRegistered,
-                            "target=" + entry.name + " service=" + entry.value->service + " address="
-                                + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation));
-        m_registry.put(*entry.value, now);
+                            detail);
     } else {
         if (!entry.fault.empty())
             m_events.record(Severity::Warning, core::events::targetEntryRefused,
@@ -284,6 +229,37 @@
     return isReachable;
 }
 
+/// Takes in the store's era from wherever it was told, before anything else of that answer or message.
+void GatewayControl::eraSeen(core::StoreEra era)
+{
+    if (era <= m_era)
+        return;
+    const core::StoreEra before = std::exchange(m_era, era);
+    const bool isFirst = before == 0 && !m_hasTargets;
+    m_events.record(isFirst ? Severity::Info : Severity::Warning, core::events::storeEraSeen,
+                    "era=" + std::to_string(era) + " before=" + std::to_string(before));
+    m_roster.eraSeen(era);
+    if (!isFirst)
+        m_registry.eraChanged(bootTime());
+    m_configs.eraSeen(era);
+    m_targetFeed.eraSeen(era);
+    for (const auto &[name, service] : m_services)
+        run(name, core::StoreEraSeen{era});
+    if (isFirst)
+        return;
+    const auto spread = [this] {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<std::chrono::milliseconds::rep>(0, reenterSpread.count())(m_random));
+    };
+    if (m_hasEntered && bootTime() - m_enteredAt < core::maxCopyAge)
+        callAfter(m_enterTimer, spread(), [this] { enter(); });
+    callAfter(m_relistTimer, relistDelay + spread(), [this] {
+        listPeers();
+        if (m_registry.hasOutdatedRemovals())
+            m_targetFeed.listAnew();
+    });
+}
+
 /// A watching daemon takes in changes quickly, since all others learn of them from it.
 void GatewayControl::setPauses()
 {
@@ -320,7 +296,7 @@
 {
     if (m_roster.mode() != core::WatchRoster::Mode::Watching || entries.size() > mostPassedOn)
         return;
-    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}};
+    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}, m_targetFeed.position().era};
     for (const auto &entry : entries)
         changes.changes.push_back({entry.name, entry.value});
     sendToAll(changes);
@@ -370,6 +346,7 @@
         if (service.control == nullptr) {
             service.control = std::make_unique<core::RangeControl>(name, m_self, now, core::OwnershipTiming{},
                                                                    m_settings.isFirstStart);
+            run(name, core::StoreEraSeen{m_era});
             std::vector<core::PeerDaemon> peers;
             for (const auto &[id, peer] : m_peers)
                 peers.push_back(peer);
@@ -401,6 +378,7 @@
 {
     m_metrics.storeReads.Increment();
     m_platform->ownership().read(service, [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+        eraSeen(reply.era);
         if (reply.outcome == edges::StoreOutcome::Ok || reply.outcome == edges::StoreOutcome::Missing)
             run(service, core::OwnershipRead{reply.record, reply.revision, asked, reply.era});
         else
@@ -414,6 +392,7 @@
     m_platform->ownership().write(
         service, effect.record, effect.expectedRevision,
         [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+            eraSeen(reply.era);
             if (reply.outcome == edges::StoreOutcome::Ok)
                 run(service, core::OwnershipWritten{reply.revision, asked, reply.era});
             else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
