Obey targets that say they are leaving or want no requests for a time

Cause: a target's answers may say that it leaves, and a 503 may name a time in which the target wants no requests. Both headers were passed on and otherwise ignored: leaving was known from the registry only, and a target that asked for quiet was retried and probed. GatewayRouter also forgot everything about a target whose registry entry lapsed.

Change: core::TargetState is the one model of whether a target may be sent requests: its own notices, the registry's draining and warm-up, and its score. GatewayRouter asks it. Notices are read from every complete answer, also of a request whose caller has left and of orders, and belong to the incarnation that was addressed. A leaving target gets no new request; a leaving or draining owner gets requests for its keys until they are handed over or 300 ms before the drain bound. A quiet target gets nothing, then requests 50 ms apart for a second. Requests that still wait for a connection to such a target are withdrawn. What can't be served before its wait or deadline ends is rejected at once, with the time until the first target may be asked, plus up to one latency objective. Beliefs about a vanished entry are kept for a minute (256 a service). Daemons tell the controller of a sharded service of a leaving target every 500 ms while the registry lists it as ready; the controller treats it as draining. Metric sardinehinge_targets, events 630 to 632.

Ruled out: ending the belief by an answer without the header (it may be an older, late one), or by the registry's "ready" (it may come from an outage or an older copy); stopping grants to a quiet owner (a lost lease costs more than a small call).

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -64,5 +64,8 @@
 constexpr std::uint32_t peerJoined = 622;
 constexpr std::uint32_t watchModeChanged = 623;
 constexpr std::uint32_t taskFailed = 624;
+constexpr std::uint32_t targetBeliefBegan = 630;
+constexpr std::uint32_t targetBeliefEnded = 631;
+constexpr std::uint32_t targetLeavingTold = 632;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -5,7 +5,7 @@
 #include <sardinehinge/core/requestrouter.h>
 #include <sardinehinge/core/retrybudget.h>
 #include <sardinehinge/core/target.h>
-#include <sardinehinge/core/targetscore.h>
+#include <sardinehinge/core/targetstate.h>
 
 #include <memory>
 #include <random>
@@ -94,7 +94,18 @@
     bool operator==(const OwnerRefused &) const = default;
 };
 
-using GatewayEffect = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused>;
+/// Reports that a belief about a target began or ended, for the log. That a sharded service's target is leaving is also
+/// for the service's controller, which hands its keys over.
+struct TargetBelief
+{
+    std::string service;
+    TargetIdentity target;
+    BeliefChange change;
+
+    bool operator==(const TargetBelief &) const = default;
+};
+
+using GatewayEffect = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief>;
 
 /// How an attempt ended, as reported by the adapter.
 struct GatewayAttemptEnd
@@ -103,6 +114,7 @@
     std::uint32_t attempt = 0;
     AttemptEnd end = AttemptEnd::AnswerLost;
     bool isServerError = false; ///< With AttemptEnd::Answered: the response is a server error.
+    TargetNotice notice; ///< Of a complete response.
 
     bool operator==(const GatewayAttemptEnd &) const = default;
 };
@@ -130,6 +142,7 @@
     Duration lostOwnerRetryAfter = std::chrono::milliseconds(700); ///< Retry delay for callers of keys whose owner is
                                                                    ///< lost: about half a lease.
     std::size_t maxQueuedRequests = 2000; ///< Over all services.
+    TargetTiming targets;
 
     bool operator==(const GatewayLimits &) const = default;
 };
@@ -159,6 +172,15 @@
 
     Effects requestArrived(const GatewayRequest &request, Time now);
     Effects attemptFinished(const GatewayAttemptEnd &end, Time now);
+    /// Takes in what a target said about itself in an answer, also when the answer's request has ended already or when
+    /// it answered an order. Call it before attemptFinished() for the same answer.
+    Effects targetNoticed(const std::string &service, const TargetIdentity &target, const TargetNotice &notice,
+                          SignalSource source, Time now);
+    /// Returns the beliefs about targets that have ended since the last call, and counts the targets for
+    /// targetCounts(). Call it about twice a second.
+    Effects surveyTargets(Time now);
+    /// Returns the number of targets by TargetCondition, as of the last survey.
+    const std::array<std::size_t, targetConditions> &targetCounts() const noexcept { return m_targetCounts; }
     /// Ends a request whose caller disconnected. What hasn't been sent yet is never sent; an attempt that isn't
     /// idempotent is left running at its target.
     Effects callerLeft(RequestId id, Time now);
@@ -180,8 +202,7 @@
     struct Target
     {
         RegisteredTarget entry;
-        TargetScore score;
-        Time warmupEnd = 0ms;
+        TargetState state;
         std::uint32_t notOwnerCount = 0; ///< Consecutive refusals of keys that it should own.
         Time nextProbe = 0ms; ///< Earliest next request while isRejectingKeys().
     };
@@ -190,6 +211,7 @@
     {
         bool isSharded = false;
         std::map<std::string, Target> targets;
+        DepartedTargets departed;
         RangeOwners owners;
         RetryBudget budget;
         Duration baselineLatency = std::chrono::milliseconds(100); ///< Smoothed over all targets.
@@ -223,6 +245,7 @@
         Target *target = nullptr;
         GatewayError error = GatewayError::NoTarget; ///< Meaningful without a target.
         bool isTransient = false; ///< Whether a target may become available soon; Overloaded and NoOwner only.
+        Time availableAt = 0ms; ///< Without a target: when the first one's quiet time ends; 0 if that isn't the reason.
     };
 
     bool isSharded(const std::string &service) const;
@@ -235,6 +258,12 @@
     Service &serviceOf(const std::string &name);
     TargetChoice chooseTarget(const Request &request, Service &service, Time now);
     TargetChoice chooseOwner(const Request &request, Service &service, Time now);
+    TargetChoice waitForQuietEnd(const Request &request, Time availableAt) const;
+    /// Returns when the first target that may serve the request can be asked again; 0 if one of them isn't quiet.
+    Time quietEnd(const Request &request, const Service &service, Time now) const;
+    void reportBeliefs(const std::string &service, const TargetIdentity &target,
+                       const std::vector<BeliefChange> &changes);
+    void withdrawUnsent(const std::string &service, const TargetIdentity &target);
     TargetChoice chooseCheapest(const Request &request, Service &service, Time now);
     void dispatch(Request &request, Time now);
     void send(Request &request, Target &target, Time now);
@@ -246,9 +275,12 @@
     void endUncertain(Request &request, GatewayError error, const std::string &detail);
     /// Whether the request may be sent again. If so, takes one retry from the budget, unless nothing was sent before.
     bool tryClaimRetry(Request &request, AttemptEnd end, bool isServerError, Time now);
+    Duration retryWait(const Request &request) const;
     void retry(Request &request, AttemptEnd end, Time now);
     void recordResult(Request &request, const GatewayAttemptEnd &end, Time now);
     Duration retryAfter(const Request &request, Duration base);
+    /// Returns the retry delay for a request that is rejected with this error now.
+    Duration rejectionDelay(const Request &request, GatewayError error, Time now);
     void removeRequest(RequestId id);
     Effects takeEffects();
 
@@ -262,6 +294,7 @@
     std::map<std::string, bool> m_sharded; ///< Of the current configuration, by service.
     std::map<std::string, Service> m_services;
     std::unordered_map<RequestId, Request> m_requests;
+    std::array<std::size_t, targetConditions> m_targetCounts{};
     Effects m_effects;
 };
 
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <sardinehinge/core/target.h>
+#include <sardinehinge/core/targetscore.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace sardinehinge::core {
+
+/// Longest quiet time that is obeyed. A longer one that a target asks for counts as this.
+constexpr Duration maxQuietTime = std::chrono::minutes(5);
+
+/// What a target says about itself in an answer.
+struct TargetNotice
+{
+    bool isLeaving = false; ///< It is about to stop.
+    std::optional<Duration> quietFor; ///< It wants no request from this daemon for this time.
+
+    bool isEmpty() const noexcept { return !isLeaving && !quietFor; }
+    bool operator==(const TargetNotice &) const = default;
+};
+
+enum class TargetSignal {
+    Leaving,
+    Quiet,
+};
+
+/// Which answer carried a notice.
+enum class SignalSource {
+    Request, ///< The answer to a request.
+    Order, ///< The answer to a grant or a release.
+};
+
+/// A belief about a target that began or ended.
+struct BeliefChange
+{
+    TargetSignal signal = TargetSignal::Leaving;
+    SignalSource source = SignalSource::Request;
+    bool hasBegun = false; ///< False: it ended.
+    Duration time = 0ms; ///< How long it will last when it begins, 0 if not known; how long it lasted when it ends.
+
+    bool operator==(const BeliefChange &) const = default;
+};
+
+/// The condition of a target that decides most about new requests, in rising order of severity.
+enum class TargetCondition : std::uint8_t {
+    Ready,
+    WarmingUp,
+    Ejected,
+    Quiet,
+    Draining, ///< The registry says so.
+    Leaving, ///< The target says so.
+};
+constexpr std::size_t targetConditions = 6;
+
+/// Parameters of TargetState.
+struct TargetTiming
+{
+    Duration drainBound = std::chrono::seconds(2); ///< From a target's leaving to its last keyed request.
+    Duration drainMargin = std::chrono::milliseconds(300); ///< For requests that are on their way at its end.
+    Duration readmissionInterval = std::chrono::milliseconds(50); ///< Shortest time between requests after a quiet
+                                                                  ///< time, so that not all that waited arrive at once.
+    Duration readmissionTime = std::chrono::seconds(1); ///< How long that interval applies.
+
+    bool operator==(const TargetTiming &) const = default;
+};
+
+/// What one daemon believes of one incarnation of a target from the target's own answers. Outlives the target's entry
+/// in the registry, which may only have lapsed.
+class TargetBeliefs
+{
+public:
+    /// Takes in a notice and returns the beliefs that begin or have ended. Several quiet times are all obeyed: the one
+    /// that ends last decides.
+    std::vector<BeliefChange> take(const TargetNotice &notice, SignalSource source, Time now);
+    /// Returns the beliefs that have ended since the last call.
+    std::vector<BeliefChange> takeEnded(Time now);
+    /// Returns all beliefs as ended: another incarnation runs, or the target's entry is gone for good.
+    std::vector<BeliefChange> drop(Time now) const;
+
+    bool isLeaving() const noexcept { return m_leavingSince.has_value(); }
+    std::optional<Time> leavingSince() const noexcept { return m_leavingSince; }
+    bool isQuiet(Time now) const noexcept { return now < m_quietUntil; }
+    Time quietUntil() const noexcept { return m_quietUntil; }
+    bool isAny(Time now) const noexcept { return isLeaving() || isQuiet(now); }
+
+private:
+    std::optional<Time> m_leavingSince;
+    SignalSource m_leavingSource = SignalSource::Request;
+    Time m_quietUntil = 0ms;
+    Time m_quietSince = 0ms;
+    SignalSource m_quietSource = SignalSource::Request;
+    bool m_isQuietOpen = false; ///< The end of the quiet time hasn't been returned by takeEnded().
+};
+
+/// Everything that one daemon knows of whether an incarnation of a target may be sent requests: its own notices, its
+/// entry in the registry, and its score. Does no I/O and reads no clock.
+class TargetState
+{
+public:
+    explicit TargetState(TargetTiming timing = {})
+        : m_timing(timing)
+    {
+    }
+
+    /// Takes in the target's entry in the registry.
+    void registered(const RegisteredTarget &entry, Time now) noexcept;
+    std::vector<BeliefChange> take(const TargetNotice &notice, SignalSource source, Time now);
+    void requestSent(Time now) noexcept;
+
+    /// Whether the target may be sent requests that another target could serve, now or after a quiet time.
+    bool isStaying() const noexcept { return !m_beliefs.isLeaving() && !m_drainingSince; }
+    /// Whether the target is staying and wants requests now. A target that has had a quiet time takes them at a pace.
+    bool admits(Time now) const noexcept { return isStaying() && now >= m_nextRequest; }
+    /// When the next request may be sent, unless the target leaves.
+    Time nextRequest() const noexcept { return m_nextRequest; }
+    /// When a leaving owner's last request may be sent; std::nullopt if it stays. Its keys are handed over until then.
+    std::optional<Time> keyedEnd() const noexcept;
+    bool isQuiet(Time now) const noexcept { return m_beliefs.isQuiet(now); }
+    bool isWarmingUp(Time now) const noexcept { return now < m_warmupEnd; }
+    TargetCondition condition(Time now) const noexcept;
+
+    TargetBeliefs &beliefs() noexcept { return m_beliefs; }
+    const TargetBeliefs &beliefs() const noexcept { return m_beliefs; }
+    /// Restores what was believed of the same incarnation before its entry vanished.
+    void restore(const TargetBeliefs &beliefs);
+    TargetScore &score() noexcept { return m_score; }
+    const TargetScore &score() const noexcept { return m_score; }
+
+private:
+    TargetTiming m_timing;
+    TargetBeliefs m_beliefs;
+    TargetScore m_score;
+    std::optional<Time> m_drainingSince; ///< By the registry.
+    Time m_warmupEnd = 0ms;
+    Time m_nextRequest = 0ms;
+};
+
+/// Beliefs about targets whose entries have vanished from the registry: a lapsed entry comes back with the same
+/// incarnation. Bounded in time and number.
+class DepartedTargets
+{
+public:
+    /// A vanished entry comes back within seconds of the end of an outage.
+    static constexpr Duration retention = std::chrono::minutes(1);
+    static constexpr std::size_t maxTargets = 256; ///< The oldest gives way.
+
+    struct Departed
+    {
+        TargetIdentity target;
+        TargetBeliefs beliefs;
+        Time since = 0ms;
+    };
+
+    /// Returns the beliefs about the target, which it creates if needed.
+    TargetBeliefs &beliefs(const TargetIdentity &target, Time now);
+    std::optional<TargetBeliefs> take(const TargetIdentity &target);
+    /// Removes those whose retention has ended, and returns them.
+    std::vector<Departed> expire(Time now);
+
+private:
+    std::vector<Departed> m_targets; ///< By age.
+};
+
+} // namespace sardinehinge::core
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -1,7 +1,6 @@
 #include <sardinehinge/core/gatewayrouter.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace sardinehinge::core {
@@ -77,29 +76,6 @@
     return count;
 }
 
-GatewayRouter::Effects GatewayRouter::setTargets(const std::vector<RegisteredTarget> &targets, Time now)
-{
-    std::map<std::string, std::map<std::string, const RegisteredTarget *>> byService;
-    for (const RegisteredTarget &target : targets)
-        byService[target.service][target.identity.id] = &target;
-    for (const auto &[name, entries] : byService)
-        serviceOf(name);
-    for (auto &[name, service] : m_services) {
-        const auto &entries = byService[name];
-        std::erase_if(service.targets, [&entries = entries](const auto &known) {
-            const auto found = entries.find(known.first);
-            return found == entries.end() || found->second->identity != known.second.entry.identity;
-        });
-        for (const auto &[id, entry] : entries) {
-            Target &target = service.targets[id];
-            target.entry = *entry;
-            target.warmupEnd = now + entry->warmupLeft;
-        }
-        dispatchQueued(name, now);
-    }
-    return takeEffects();
-}
-
 GatewayRouter::Effects GatewayRouter::setOwners(const RangeOwners &owners, Time now)
 {
     Service &service = serviceOf(owners.service);
@@ -147,62 +123,6 @@
     return takeEffects();
 }
 
-GatewayRouter::TargetChoice GatewayRouter::chooseTarget(const Request &request, Service &service, Time now)
-{
-    return isSharded(request.service) ? chooseOwner(request, service, now) : chooseCheapest(request, service, now);
-}
-
-GatewayRouter::TargetChoice GatewayRouter::chooseOwner(const Request &request, Service &service, Time now)
-{
-    const RoutedRange *range = service.owners.find(*request.head.key);
-    if (range != nullptr && range->state == RangeState::Moving)
-        return {nullptr, GatewayError::NoOwner, true};
-    if (range == nullptr || range->owner.empty() || range->state == RangeState::OwnerLost)
-        return {nullptr, GatewayError::NoOwner, false};
-    const auto target = service.targets.find(range->owner);
-    if (target == service.targets.end())
-        return {nullptr, GatewayError::NoOwner, true};
-    if (target->second.score.isEjected(now) && target->second.score.inFlight() != 0)
-        return {nullptr, GatewayError::NoOwner, false};
-    if (isRejectingKeys(target->second) && now < target->second.nextProbe)
-        return {nullptr, GatewayError::NoOwner, false};
-    if (!target->second.score.hasRoom())
-        return {nullptr, GatewayError::Overloaded, true};
-    return {&target->second, GatewayError::NoOwner, false};
-}
-
-GatewayRouter::TargetChoice GatewayRouter::chooseCheapest(const Request &request, Service &service, Time now)
-{
-    Target *best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    bool isAnyUsable = false;
-    std::uniform_real_distribution<double> jitter(1.0, 1.1);
-    for (auto &[id, target] : service.targets) {
-        if (target.entry.isDraining || (request.attempts != 0 && id == request.target))
-            continue;
-        const TargetScore &score = target.score;
-        if (score.isEjected(now))
-            continue;
-        isAnyUsable = true;
-        if (!score.hasRoom())
-            continue;
-        const bool isRemote = target.entry.failureDomain != m_failureDomain;
-        const double cost = score.cost(isRemote, now < target.warmupEnd, now) * jitter(m_random);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = &target;
-        }
-    }
-    if (best == nullptr && !isAnyUsable) {
-        // No target is usable: rather than reject the request, probe an ejected one that has no request in flight.
-        for (auto &[id, target] : service.targets) {
-            if (!target.entry.isDraining && target.score.inFlight() == 0 && id != request.target)
-                best = &target;
-        }
-    }
-    return {best, isAnyUsable ? GatewayError::Overloaded : GatewayError::NoTarget, isAnyUsable};
-}
-
 void GatewayRouter::dispatch(Request &request, Time now)
 {
     Service &service = serviceOf(request.service);
@@ -238,10 +158,9 @@
 void GatewayRouter::queueOrReject(Request &request, const TargetChoice &choice, Time now)
 {
     Service &service = serviceOf(request.service);
-    const Duration latencyObjective = request.route->latencyObjective;
     if (!choice.isTransient || queuedRequests() >= m_limits.maxQueuedRequests) {
-        const Duration base = choice.error == GatewayError::NoOwner ? m_limits.lostOwnerRetryAfter : latencyObjective;
-        return reject(request, choice.error, "the request cannot be served now", retryAfter(request, base));
+        return reject(request, choice.error, "the request cannot be served now",
+                      rejectionDelay(request, choice.error, now));
     }
     if (choice.error == GatewayError::NoOwner)
         request.queueDeadline = std::max(request.queueDeadline, request.arrived + m_limits.handoverWait);
@@ -250,19 +169,20 @@
         if (isSharded(request.service)) {
             const RoutedRange *range = service.owners.find(*request.head.key);
             const auto owner = range == nullptr ? service.targets.end() : service.targets.find(range->owner);
-            capacity = owner == service.targets.end() ? 0 : owner->second.score.limit();
+            capacity = owner == service.targets.end() ? 0 : owner->second.state.score().limit();
         } else {
             for (const auto &[id, target] : service.targets)
-                capacity += target.entry.isDraining ? 0 : target.score.limit();
+                capacity += target.state.isStaying() ? target.state.score().limit() : 0;
         }
         const double queuePosition = static_cast<double>(queuedAhead(service, request)) + 1;
-        const double wait
-            = queuePosition * static_cast<double>(service.baselineLatency.count()) / std::max(capacity, 1.0);
+        const double quietLeft = static_cast<double>(std::max(choice.availableAt - now, Duration(0)).count());
+        const double wait = quietLeft
+            + (queuePosition * static_cast<double>(service.baselineLatency.count()) / std::max(capacity, 1.0));
         if (wait > static_cast<double>((request.queueDeadline - now).count())) {
             return reject(request, GatewayError::Overloaded,
                           "the expected wait at queue position " + std::to_string(static_cast<int>(queuePosition))
                               + " is too long",
-                          retryAfter(request, latencyObjective));
+                          rejectionDelay(request, GatewayError::Overloaded, now));
         }
     }
     request.isQueued = true;
@@ -286,7 +206,7 @@
     request.sentAt = now;
     request.isSent = true;
     ++request.attempts;
-    target.score.attemptStarted();
+    target.state.requestSent(now);
     target.nextProbe = now + m_limits.nonOwnerProbeInterval;
     m_effects.emplace_back(SendToTarget{request.head.id, request.attempts, target.entry.identity, request.service,
                                         target.entry.address, request.deadline - now, request.route->isIdempotent});
@@ -307,9 +227,7 @@
         } else if (!choice.isTransient) {
             dequeue(request);
             reject(request, choice.error, "the request cannot be served now",
-                   retryAfter(request,
-                              choice.error == GatewayError::NoOwner ? m_limits.lostOwnerRetryAfter
-                                                                    : request.route->latencyObjective));
+                   rejectionDelay(request, choice.error, now));
         }
     }
 }
@@ -327,14 +245,19 @@
     }
     if (target == service.targets.end())
         return;
+    // The request may have been withdrawn, which says nothing about the target.
+    const TargetState &state = target->second.state;
+    if (end.end == AttemptEnd::NothingSent
+        && (state.isQuiet(now) || (!isSharded(request.service) && !state.isStaying())))
+        return target->second.state.score().attemptDiscarded();
     if (end.end == AttemptEnd::NotOwner && isSharded(request.service)) {
-        target->second.score.attemptDiscarded();
+        target->second.state.score().attemptDiscarded();
         ++target->second.notOwnerCount;
         return;
     }
     target->second.notOwnerCount = 0;
-    target->second.score.attemptFinished(observationOf(end.end, end.isServerError), taken,
-                                         request.route->latencyObjective, routeBaseline, now);
+    target->second.state.score().attemptFinished(observationOf(end.end, end.isServerError), taken,
+                                                 request.route->latencyObjective, routeBaseline, now);
 }
 
 bool GatewayRouter::tryClaimRetry(Request &request, AttemptEnd end, bool isServerError, Time now)
@@ -356,6 +279,8 @@
         if (owner != targets.end() && isRejectingKeys(owner->second))
             return false;
     }
+    if (quietEnd(request, serviceOf(request.service), now) > std::min(now + retryWait(request), request.deadline))
+        return false;
     constexpr std::uint32_t maxSends = 4;
     if (request.attempts >= maxSends || request.deadline - now < request.route->latencyObjective / 8)
         return false;
@@ -367,18 +292,23 @@
 {
     const auto &targets = serviceOf(request.service).targets;
     const auto target = targets.find(request.target);
-    return end == AttemptEnd::Shed && target != targets.end() && !target->second.score.isQueueing();
+    return end == AttemptEnd::Shed && target != targets.end() && !target->second.state.score().isQueueing();
+}
+
+/// Returns how long a request may be queued for its retry.
+Duration GatewayRouter::retryWait(const Request &request) const
+{
+    if (isSharded(request.service))
+        return m_limits.handoverWait;
+    return std::chrono::duration_cast<Duration>(m_limits.queueTimeFraction * request.route->latencyObjective);
 }
 
 void GatewayRouter::retry(Request &request, AttemptEnd end, Time now)
 {
     Service &service = serviceOf(request.service);
-    const bool isKeyed = isSharded(request.service);
-    request.queueDeadline
-        = now + std::chrono::duration_cast<Duration>(m_limits.queueTimeFraction * request.route->latencyObjective);
-    if (isKeyed) {
+    request.queueDeadline = now + retryWait(request);
+    if (isSharded(request.service)) {
         request.earliestSend = now + m_limits.notOwnerRetryDelay;
-        request.queueDeadline = now + m_limits.handoverWait;
         if (end == AttemptEnd::NotOwner)
             m_effects.emplace_back(OwnerRefused{request.service, request.target, *request.head.key});
     }
@@ -418,7 +348,9 @@
         const bool isShedWithoutQueue = isSharded(service) && wasShedWithoutQueue(request, end.end);
         reject(request, GatewayError::Overloaded,
                request.target + (isShedWithoutQueue ? " shed the request without queueing" : " has no free slot"),
-               retryAfter(request, isShedWithoutQueue ? m_limits.shedRetryAfter : request.route->latencyObjective));
+               isShedWithoutQueue && quietEnd(request, serviceOf(service), now) == 0ms
+                   ? retryAfter(request, m_limits.shedRetryAfter)
+                   : rejectionDelay(request, GatewayError::Overloaded, now));
     }
     dispatchQueued(service, now);
     return takeEffects();
@@ -437,7 +369,7 @@
         m_effects.emplace_back(CancelSend{id, request.attempts, !request.route->isIdempotent});
         if (const auto target = serviceOf(service).targets.find(request.target);
             target != serviceOf(service).targets.end())
-            target->second.score.attemptDiscarded();
+            target->second.state.score().attemptDiscarded();
     }
     removeRequest(id);
     dispatchQueued(service, now);
@@ -458,13 +390,13 @@
         if (request.isQueued) {
             dequeue(request);
             reject(request, isSharded(request.service) ? GatewayError::NoOwner : GatewayError::Overloaded,
-                   "no target became available in time", retryAfter(request, request.route->latencyObjective));
+                   "no target became available in time", rejectionDelay(request, GatewayError::Overloaded, now));
             continue;
         }
         if (const auto target = serviceOf(request.service).targets.find(request.target);
             target != serviceOf(request.service).targets.end())
-            target->second.score.attemptFinished(TargetObservation::Failed, now - request.sentAt,
-                                                 request.route->latencyObjective, minBaselineLatency, now);
+            target->second.state.score().attemptFinished(TargetObservation::Failed, now - request.sentAt,
+                                                         request.route->latencyObjective, minBaselineLatency, now);
         m_effects.emplace_back(CancelSend{id, request.attempts});
         endUncertain(request, GatewayError::TimedOut, request.target + " did not respond in time");
     }
@@ -482,6 +414,17 @@
     return std::chrono::duration_cast<Duration>(base * spread(m_random));
 }
 
+Duration GatewayRouter::rejectionDelay(const Request &request, GatewayError error, Time now)
+{
+    const Duration objective = request.route->latencyObjective;
+    if (const Time end = quietEnd(request, serviceOf(request.service), now); end > now) {
+        // Callers come back after the quiet time, over a while in which the targets are let serve them.
+        std::uniform_real_distribution<double> spread(0, 1);
+        return end - now + std::chrono::duration_cast<Duration>(objective * spread(m_random));
+    }
+    return retryAfter(request, error == GatewayError::NoOwner ? m_limits.lostOwnerRetryAfter : objective);
+}
+
 void GatewayRouter::reject(Request &request, GatewayError error, const std::string &detail, Duration retryAfter)
 {
     m_effects.emplace_back(EndWithError{request.head.id, error, request.mayHaveRun, retryAfter, detail});
@@ -508,7 +451,7 @@
 {
     std::map<std::string, double> latencies;
     for (auto &[id, target] : serviceOf(service).targets) {
-        if (const auto mean = target.score.takeMeanRelativeLatency())
+        if (const auto mean = target.state.score().takeMeanRelativeLatency())
             latencies[id] = *mean;
     }
     return latencies;
--- /dev/null
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -0,0 +1,192 @@
+#include <sardinehinge/core/gatewayrouter.h>
+
+#include <algorithm>
+#include <limits>
+
+/// The part of GatewayRouter that knows the targets' state and chooses among them.
+namespace sardinehinge::core {
+
+GatewayRouter::Effects GatewayRouter::setTargets(const std::vector<RegisteredTarget> &targets, Time now)
+{
+    std::map<std::string, std::map<std::string, const RegisteredTarget *>> byService;
+    for (const RegisteredTarget &target : targets)
+        byService[target.service][target.identity.id] = &target;
+    for (const auto &[name, entries] : byService)
+        serviceOf(name);
+    for (auto &[name, service] : m_services) {
+        const auto &entries = byService[name];
+        std::erase_if(service.targets, [&entries = entries, &service = service, now](const auto &known) {
+            const auto found = entries.find(known.first);
+            if (found != entries.end() && found->second->identity == known.second.entry.identity)
+                return false;
+            if (const TargetBeliefs &beliefs = known.second.state.beliefs(); beliefs.isAny(now))
+                service.departed.beliefs(known.second.entry.identity, now) = beliefs;
+            return true;
+        });
+        for (const auto &[id, entry] : entries) {
+            const auto [found, isNew] = service.targets.try_emplace(id);
+            Target &target = found->second;
+            target.entry = *entry;
+            if (isNew) {
+                target.state = TargetState(m_limits.targets);
+                if (const auto beliefs = service.departed.take(entry->identity))
+                    target.state.restore(*beliefs);
+            }
+            target.state.registered(*entry, now);
+        }
+        dispatchQueued(name, now);
+    }
+    return takeEffects();
+}
+
+GatewayRouter::Effects GatewayRouter::targetNoticed(const std::string &serviceName, const TargetIdentity &target,
+                                                    const TargetNotice &notice, SignalSource source, Time now)
+{
+    if (notice.isEmpty())
+        return {};
+    Service &service = serviceOf(serviceName);
+    const auto found = service.targets.find(target.id);
+    if (found == service.targets.end() || found->second.entry.identity != target) {
+        reportBeliefs(serviceName, target, service.departed.beliefs(target, now).take(notice, source, now));
+        return takeEffects();
+    }
+    const std::vector<BeliefChange> changes = found->second.state.take(notice, source, now);
+    reportBeliefs(serviceName, target, changes);
+    // The keys of a leaving owner are still its own until they are handed over.
+    if (!changes.empty() && (!isSharded(serviceName) || found->second.state.isQuiet(now)))
+        withdrawUnsent(serviceName, target);
+    dispatchQueued(serviceName, now);
+    return takeEffects();
+}
+
+void GatewayRouter::reportBeliefs(const std::string &service, const TargetIdentity &target,
+                                  const std::vector<BeliefChange> &changes)
+{
+    for (const BeliefChange &change : changes)
+        m_effects.emplace_back(TargetBelief{service, target, change});
+}
+
+/// Withdraws the requests that are still waiting for a connection to the target.
+void GatewayRouter::withdrawUnsent(const std::string &service, const TargetIdentity &target)
+{
+    std::vector<RequestId> ids;
+    for (const auto &[id, request] : m_requests) {
+        if (request.isSent && request.target == target.id && request.service == service)
+            ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const RequestId id : ids)
+        m_effects.emplace_back(CancelSend{id, m_requests.at(id).attempts, true});
+}
+
+GatewayRouter::Effects GatewayRouter::surveyTargets(Time now)
+{
+    m_targetCounts.fill(0);
+    for (auto &[name, service] : m_services) {
+        for (auto &[id, target] : service.targets) {
+            ++m_targetCounts.at(static_cast<std::size_t>(target.state.condition(now)));
+            reportBeliefs(name, target.entry.identity, target.state.beliefs().takeEnded(now));
+        }
+        for (const DepartedTargets::Departed &departed : service.departed.expire(now))
+            reportBeliefs(name, departed.target, departed.beliefs.drop(now));
+    }
+    return takeEffects();
+}
+
+Time GatewayRouter::quietEnd(const Request &request, const Service &service, Time now) const
+{
+    if (isSharded(request.service)) {
+        const RoutedRange *range = service.owners.find(*request.head.key);
+        const auto owner = range == nullptr ? service.targets.end() : service.targets.find(range->owner);
+        return owner != service.targets.end() && owner->second.state.isQuiet(now) ? owner->second.state.nextRequest()
+                                                                                  : Time(0);
+    }
+    Time first = Time::max();
+    for (const auto &[id, target] : service.targets) {
+        if (!target.state.isStaying())
+            continue;
+        if (!target.state.isQuiet(now))
+            return 0ms;
+        first = std::min(first, target.state.nextRequest());
+    }
+    return first == Time::max() ? Time(0) : first;
+}
+
+/// A request waits for the end of a quiet time only if it may still be queued then.
+GatewayRouter::TargetChoice GatewayRouter::waitForQuietEnd(const Request &request, Time availableAt) const
+{
+    return {nullptr, GatewayError::Overloaded, availableAt < std::min(request.queueDeadline, request.deadline),
+            availableAt};
+}
+
+GatewayRouter::TargetChoice GatewayRouter::chooseTarget(const Request &request, Service &service, Time now)
+{
+    return isSharded(request.service) ? chooseOwner(request, service, now) : chooseCheapest(request, service, now);
+}
+
+GatewayRouter::TargetChoice GatewayRouter::chooseOwner(const Request &request, Service &service, Time now)
+{
+    const RoutedRange *range = service.owners.find(*request.head.key);
+    if (range != nullptr && range->state == RangeState::Moving)
+        return {nullptr, GatewayError::NoOwner, true};
+    if (range == nullptr || range->owner.empty() || range->state == RangeState::OwnerLost)
+        return {nullptr, GatewayError::NoOwner, false};
+    const auto target = service.targets.find(range->owner);
+    if (target == service.targets.end())
+        return {nullptr, GatewayError::NoOwner, true};
+    const TargetState &state = target->second.state;
+    // The handover of a leaving owner's keys is overdue.
+    if (const auto end = state.keyedEnd(); end && now >= *end)
+        return {nullptr, GatewayError::NoOwner, true};
+    if (state.isQuiet(now))
+        return waitForQuietEnd(request, state.nextRequest());
+    if (state.score().isEjected(now) && state.score().inFlight() != 0)
+        return {nullptr, GatewayError::NoOwner, false};
+    if (isRejectingKeys(target->second) && now < target->second.nextProbe)
+        return {nullptr, GatewayError::NoOwner, false};
+    if (!state.score().hasRoom() || now < state.nextRequest())
+        return {nullptr, GatewayError::Overloaded, true};
+    return {&target->second, GatewayError::NoOwner, false};
+}
+
+GatewayRouter::TargetChoice GatewayRouter::chooseCheapest(const Request &request, Service &service, Time now)
+{
+    Target *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    bool isAnyUsable = false;
+    Time firstQuietEnd = Time::max();
+    std::uniform_real_distribution<double> jitter(1.0, 1.1);
+    for (auto &[id, target] : service.targets) {
+        const TargetState &state = target.state;
+        if (!state.isStaying() || (request.attempts != 0 && id == request.target))
+            continue;
+        if (state.isQuiet(now)) {
+            firstQuietEnd = std::min(firstQuietEnd, state.nextRequest());
+            continue;
+        }
+        const TargetScore &score = state.score();
+        if (score.isEjected(now))
+            continue;
+        isAnyUsable = true;
+        if (!score.hasRoom() || now < state.nextRequest())
+            continue;
+        const bool isRemote = target.entry.failureDomain != m_failureDomain;
+        const double cost = score.cost(isRemote, state.isWarmingUp(now), now) * jitter(m_random);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = &target;
+        }
+    }
+    if (best == nullptr && !isAnyUsable) {
+        // No target is usable: rather than reject the request, probe an ejected one that has no request in flight.
+        for (auto &[id, target] : service.targets) {
+            if (target.state.admits(now) && target.state.score().inFlight() == 0 && id != request.target)
+                best = &target;
+        }
+    }
+    if (best == nullptr && !isAnyUsable && firstQuietEnd != Time::max())
+        return waitForQuietEnd(request, firstQuietEnd);
+    return {best, isAnyUsable ? GatewayError::Overloaded : GatewayError::NoTarget, isAnyUsable};
+}
+
+} // namespace sardinehinge::core
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -335,12 +335,7 @@
         return;
     auto targets = m_registry.targets(now);
     for (const auto &[name, service] : m_services) {
-        std::vector<core::RegisteredTarget> own;
-        for (const core::RegisteredTarget &target : targets) {
-            if (target.service == name)
-                own.push_back(target);
-        }
-        run(name, core::ControlTargets{std::move(own)});
+        run(name, core::ControlTargets{m_leaving.markDraining(name, targets)});
     }
     m_tellTraffic(GatewayTargetsUpdate{std::move(targets)});
 }
@@ -364,6 +359,7 @@
     if (m_hasTargets)
         publishTargets();
     const core::Time now = bootTime();
+    tellLeaving(now);
     for (auto &[name, service] : m_services) {
         if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
             continue;
@@ -373,12 +369,7 @@
             for (const auto &[id, peer] : m_peers)
                 peers.push_back(peer);
             run(name, core::ControlPeers{std::move(peers), m_settings.linkMbps});
-            std::vector<core::RegisteredTarget> own;
-            for (const core::RegisteredTarget &target : m_registry.targets(now)) {
-                if (target.service == name)
-                    own.push_back(target);
-            }
-            run(name, core::ControlTargets{std::move(own)});
+            run(name, core::ControlTargets{m_leaving.markDraining(name, m_registry.targets(now))});
         }
         run(name, core::ControlTick{});
     }
@@ -423,10 +414,18 @@
 
 void GatewayControl::act(const std::string &service, const core::RangeOrder &effect)
 {
-    m_platform->orders().send(
-        effect, [this, service, order = effect.order](core::OrderEndKind end, const std::string &handover) {
-            run(service, core::OrderEnded{order, end, handover});
-        });
+    const core::RegisteredTarget *known = m_registry.find(effect.target);
+    const auto target = known == nullptr || known->address != effect.address ? core::TargetIdentity() : known->identity;
+    m_platform->orders().send(effect,
+                              [this, service, order = effect.order, target](core::OrderEndKind end,
+                                                                            const std::string &handover,
+                                                                            const core::TargetNotice &notice) {
+                                  if (!target.id.empty() && !notice.isEmpty())
+                                      m_tellTraffic(GatewayTargetNotice{service, target, notice});
+                                  if (!target.id.empty() && notice.isLeaving)
+                                      takeLeaving(service, target);
+                                  run(service, core::OrderEnded{order, end, handover});
+                              });
 }
 
 void GatewayControl::act(const std::string &, const core::AnnounceOwners &effect)
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -3,6 +3,7 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/leavingtargets.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/targetregistry.h>
 #include <sardinehinge/core/watchroster.h>
@@ -81,6 +82,10 @@
     void act(const std::string &service, const core::ControlLogEntry &effect);
     void take(const ServiceKeyLoad &report);
     void take(const core::OwnerRefused &report);
+    void take(const core::TargetBelief &report);
+    void takeLeaving(const std::string &service, const core::TargetIdentity &target);
+    void handOver(const std::string &service);
+    void tellLeaving(core::Time now);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
     // Datagrams. In gatewaycontrol_peers.cpp.
@@ -97,6 +102,7 @@
     void heard(const std::string &from, const protocol::Hello &message);
     void heard(const std::string &from, const core::WatchNotice &message);
     void heard(const std::string &from, const protocol::TargetChanges &message);
+    void heard(const std::string &from, const protocol::LeavingMessage &message);
     void send(const std::string &to, const protocol::GatewayMessage &message);
     void sendToAll(const protocol::GatewayMessage &message);
 
@@ -124,6 +130,7 @@
     std::atomic<bool> m_hasResigned = false;
     std::uint64_t m_configVersion = 0;
     core::TargetRegistry m_registry;
+    core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
     core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -6,7 +6,8 @@
 
 #include <algorithm>
 
-/// The datagrams of GatewayControl: what other daemons say, and what is said to them.
+/// The datagrams of GatewayControl: what other daemons say, and what is said to them; and the leaving targets, of which
+/// other daemons tell too.
 namespace sardinehinge::daemon {
 
 namespace {
@@ -136,6 +137,47 @@
     m_targetFeed.takeFrom(entries, message.base, message.revision);
 }
 
+void GatewayControl::heard(const std::string &from, const protocol::LeavingMessage &message)
+{
+    // Only configured services: a stray name must not create state.
+    if (!m_services.contains(message.service))
+        return;
+    if (m_leaving.add({message.service, message.target})) {
+        m_events.record(Severity::Info, core::events::targetLeavingTold,
+                        "target=" + message.target.id + " born=" + std::to_string(message.target.incarnation)
+                            + " service=" + message.service + " from=" + from);
+        handOver(message.service);
+    }
+}
+
+/// A sharded service's target is leaving.
+void GatewayControl::take(const core::TargetBelief &report)
+{
+    takeLeaving(report.service, report.target);
+}
+
+void GatewayControl::takeLeaving(const std::string &service, const core::TargetIdentity &target)
+{
+    if (m_leaving.add({service, target}))
+        handOver(service);
+}
+
+/// Has the keys of leaving targets handed over, if this daemon controls them.
+void GatewayControl::handOver(const std::string &service)
+{
+    run(service, core::ControlTargets{m_leaving.markDraining(service, m_registry.targets(bootTime()))});
+}
+
+/// Tells the controllers of leaving targets that the registry doesn't show as such.
+void GatewayControl::tellLeaving(core::Time now)
+{
+    for (const core::LeavingTarget &leaving : m_leaving.takeDue(m_registry, now)) {
+        const Service &service = serviceOf(leaving.service);
+        if (!service.controller.empty() && service.controller != m_self.id)
+            send(service.controller, protocol::LeavingMessage{leaving.service, leaving.target});
+    }
+}
+
 void GatewayControl::send(const std::string &to, const protocol::GatewayMessage &message)
 {
     const auto peer = m_peers.find(to);
--- a/packages/daemon/src/gatewaymessages.h
+++ b/packages/daemon/src/gatewaymessages.h
@@ -28,8 +28,17 @@
     std::size_t count = 1;
 };
 
+/// What a target said about itself in the answer to an order.
+struct GatewayTargetNotice
+{
+    std::string service;
+    core::TargetIdentity target;
+    core::TargetNotice notice;
+};
+
 /// Control duty to traffic duty.
-using ToTraffic = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate>;
+using ToTraffic = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate,
+                               GatewayTargetNotice>;
 
 struct ServiceKeyLoad
 {
@@ -38,6 +47,6 @@
 };
 
 /// Traffic duty to control duty.
-using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused>;
+using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused, core::TargetBelief>;
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds timerStep(20);
 /// How often the controllers of sharded services learn of the load by key.
 constexpr std::chrono::milliseconds loadReportPeriod(500);
+/// How often targets are counted by condition.
+constexpr std::chrono::milliseconds surveyPeriod(500);
 /// Descriptors that aren't for callers: files, the store, peers and connections to targets.
 constexpr std::size_t reservedDescriptors = 1200;
 /// A caller that doesn't read its answer for so long is given up.
@@ -100,9 +102,23 @@
 {
     core::GatewayLimits limits;
     limits.retries = settings.retries;
+    limits.targets.drainBound = settings.drainBound;
     return limits;
 }
 
+const char *nameOf(core::TargetSignal signal)
+{
+    return signal == core::TargetSignal::Leaving ? "leaving" : "quiet";
+}
+
+const char *nameOf(core::SignalSource source)
+{
+    return source == core::SignalSource::Order ? "order" : "request";
+}
+
+constexpr std::array<const char *, core::targetConditions> conditionNames
+    = {"ready", "warming_up", "ejected", "quiet", "draining", "leaving"};
+
 } // namespace
 
 void GatewayTraffic::ReadyHandler::handle(std::uint64_t, http::Request, std::shared_ptr<http::Responder> responder)
@@ -139,6 +155,10 @@
         m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=\"" + detail + "\"");
     });
     m_router.setDaemonCount(settings.daemons);
+    for (std::size_t index = 0; index < core::targetConditions; ++index)
+        m_metrics.addGauge("sardinehinge_targets", "Known targets by condition",
+                           {{"condition", conditionNames.at(index)}},
+                           [this, index] { return static_cast<double>(m_targetCounts.at(index).load()); });
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -173,6 +193,7 @@
 {
     boost::asio::post(m_worker.context(), [this, settings] {
         m_settings.retries = settings.retries;
+        m_settings.drainBound = settings.drainBound;
         m_router.setLimits(limitsOf(settings));
     });
 }
@@ -210,6 +231,7 @@
 {
     m_hasTargets = true;
     carryOut(m_router.setTargets(update.targets, bootTime()));
+    surveyTargets(bootTime());
     m_isReady.store(m_router.hasConfig() && !m_isStopping.load());
 }
 
@@ -223,6 +245,12 @@
     m_router.setDaemonCount(std::max(update.count, m_settings.daemons));
 }
 
+void GatewayTraffic::take(const GatewayTargetNotice &update)
+{
+    carryOut(
+        m_router.targetNoticed(update.service, update.target, update.notice, core::SignalSource::Order, bootTime()));
+}
+
 void GatewayTraffic::handle(std::uint64_t id, http::Request request, std::shared_ptr<http::Responder> responder)
 {
     const core::Time now = bootTime();
@@ -275,12 +303,15 @@
     const http::Request message = m_dialect->forTarget(exchange.message, effect);
     const http::ExchangeOptions options = m_dialect->options(exchange.message, effect);
     const auto id = m_client.send(effect.address, message, options,
-                                  [this, request = effect.id, attempt = effect.attempt](
-                                      const http::ExchangeResult &end) { attemptEnded(request, attempt, end); });
+                                  [this, request = effect.id, attempt = effect.attempt, service = effect.service,
+                                   target = effect.target](const http::ExchangeResult &end) {
+                                      attemptEnded(request, attempt, service, target, end);
+                                  });
     exchange.sends[effect.attempt] = id;
 }
 
-void GatewayTraffic::attemptEnded(core::RequestId id, std::uint32_t attempt, const http::ExchangeResult &end)
+void GatewayTraffic::attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
+                                  const core::TargetIdentity &target, const http::ExchangeResult &end)
 {
     core::GatewayAttemptEnd read = m_dialect->readEnd(end);
     read.id = id;
@@ -296,6 +327,8 @@
         else
             exchange.route += " reason=\"" + end.detail + "\"";
     }
+    // Also when the caller has left and its request is gone.
+    carryOut(m_router.targetNoticed(service, target, read.notice, core::SignalSource::Request, bootTime()));
     carryOut(m_router.attemptFinished(read, bootTime()));
 }
 
@@ -356,6 +389,19 @@
     m_tellControl(effect); // A full ring loses it: the next refusal tells again.
 }
 
+void GatewayTraffic::act(const core::TargetBelief &effect)
+{
+    const core::BeliefChange &change = effect.change;
+    m_events.record(Severity::Info, change.hasBegun ? core::events::targetBeliefBegan : core::events::targetBeliefEnded,
+                    "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation) + " service="
+                        + effect.service + " signal=" + nameOf(change.signal) + " source=" + nameOf(change.source)
+                        + (change.hasBegun ? " for_ms=" : " age_ms=") + std::to_string(milliseconds(change.time)));
+    if (change.signal != core::TargetSignal::Leaving || !change.hasBegun || !m_shardedServices.contains(effect.service))
+        return;
+    if (!m_tellControl(effect))
+        m_untold.push_back(effect);
+}
+
 void GatewayTraffic::armTimer()
 {
     if (m_isTimerArmed)
@@ -376,6 +422,17 @@
         armTimer();
     carryOut(m_router.tick(now));
     reportLoad(now);
+    if (now - m_lastSurvey >= surveyPeriod)
+        surveyTargets(now);
+}
+
+void GatewayTraffic::surveyTargets(core::Time now)
+{
+    m_lastSurvey = now;
+    carryOut(m_router.surveyTargets(now));
+    for (std::size_t index = 0; index < core::targetConditions; ++index)
+        m_targetCounts.at(index).store(m_router.targetCounts().at(index));
+    std::erase_if(m_untold, [this](const core::TargetBelief &belief) { return m_tellControl(belief); });
 }
 
 void GatewayTraffic::reportLoad(core::Time now)
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <atomic>
 #include <set>
 #include <unordered_map>
@@ -78,13 +79,17 @@
     void take(const GatewayTargetsUpdate &update);
     void take(const GatewayOwnersUpdate &update);
     void take(const GatewayDaemonsUpdate &update);
+    void take(const GatewayTargetNotice &update);
     void carryOut(const core::GatewayRouter::Effects &effects);
     void act(const core::SendToTarget &effect);
     void act(const core::CancelSend &effect);
     void act(const core::ForwardAnswer &effect);
     void act(const core::EndWithError &effect);
     void act(const core::OwnerRefused &effect);
-    void attemptEnded(core::RequestId id, std::uint32_t attempt, const http::ExchangeResult &end);
+    void act(const core::TargetBelief &effect);
+    void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
+                      const core::TargetIdentity &target, const http::ExchangeResult &end);
+    void surveyTargets(core::Time now);
     void armTimer();
     void onTimer();
     void reportLoad(core::Time now);
@@ -109,6 +114,9 @@
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::set<std::string> m_shardedServices;
     core::Time m_lastLoadReport{};
+    core::Time m_lastSurvey{};
+    std::vector<core::TargetBelief> m_untold; ///< Didn't fit into the control duty's ring.
+    std::array<std::atomic<std::size_t>, core::targetConditions> m_targetCounts{}; ///< For the metrics.
     bool m_hasTargets = false;
     std::atomic<bool> m_isReady = false;
     std::atomic<bool> m_isStopping = false;
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -105,8 +105,9 @@
 class RangeOrders
 {
 public:
-    /// The end of an order; `handover` comes with an accepted release.
-    using Callback = std::function<void(core::OrderEndKind end, std::string handover)>;
+    /// The end of an order; `handover` comes with an accepted release. `notice`: what the target said of itself.
+    using Callback
+        = std::function<void(core::OrderEndKind end, std::string handover, const core::TargetNotice &notice)>;
 
     RangeOrders() = default;
     RangeOrders(const RangeOrders &) = delete;
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -113,6 +113,12 @@
   4: i64 era,
 }
 
+struct Leaving {
+  1: string group,
+  2: string target,
+  3: i64 born,
+}
+
 struct Hello {
   1: string address,
   2: bool isReply,
@@ -133,4 +139,5 @@
   11: optional OwnersChange ownersChange,
   12: optional WatchNotice watchNotice,
   13: optional TargetChanges targetChanges,
+  14: optional Leaving leaving,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -40,6 +40,15 @@
     bool operator==(const RefusedMessage &) const = default;
 };
 
+/// A target of a sharded service said that it is leaving.
+struct LeavingMessage
+{
+    std::string service;
+    core::TargetIdentity target;
+
+    bool operator==(const LeavingMessage &) const = default;
+};
+
 /// One changed entry of the registry of targets.
 struct TargetChange
 {
@@ -73,7 +82,7 @@
 
 using GatewayMessage = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControllerHeartbeat,
                                     core::ControllerHeartbeatAck, core::ControllerResigned, OwnersWanted, LoadMessage,
-                                    RefusedMessage, Hello, core::WatchNotice, TargetChanges>;
+                                    RefusedMessage, Hello, core::WatchNotice, TargetChanges, LeavingMessage>;
 
 /// A message and who sent it. The `from` fields of beats, resignations and notices are the sender's id.
 struct GatewayDatagram
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -194,6 +194,15 @@
         out.__set_refused(refused);
     }
 
+    void operator()(const LeavingMessage &message) const
+    {
+        gatewaywire::Leaving leaving;
+        leaving.__set_group(message.service);
+        leaving.__set_target(message.target.id);
+        leaving.__set_born(toWire(message.target.incarnation));
+        out.__set_leaving(leaving);
+    }
+
     void operator()(const Hello &message) const
     {
         gatewaywire::Hello hello;
@@ -289,7 +298,7 @@
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
-        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges;
+        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges + isset.leaving;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -330,6 +339,11 @@
         return isKey(in.refused.key) ? std::optional<GatewayMessage>(
                    RefusedMessage{in.refused.group, in.refused.target, static_cast<std::uint32_t>(in.refused.key)})
                                      : std::nullopt;
+    if (isset.leaving) {
+        if (in.leaving.group.empty() || in.leaving.target.empty())
+            return std::nullopt;
+        return LeavingMessage{in.leaving.group, {in.leaving.target, fromWire(in.leaving.born)}};
+    }
     if (in.hello.linkMbps < 0)
         return std::nullopt;
     return Hello{in.hello.address, in.hello.isReply, static_cast<std::uint32_t>(in.hello.linkMbps)};
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -22,6 +22,7 @@
         protocol::OwnersWanted{"s"},
         protocol::LoadMessage{"s", {{1, 2}, {65535, 7}}, {{"a", 1.5}}},
         protocol::RefusedMessage{"s", "a", 65535},
+        protocol::LeavingMessage{"s", {"a", 1ULL << 62}},
         protocol::Hello{"10.0.0.1:7620", true, 200},
         core::WatchNotice{"sender", {5, 17, 30, 16}, {6, 29, 31, 0}, 120ms},
         protocol::TargetChanges{
