--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -114,7 +114,7 @@
     /// Whether the target may be sent requests that another target could serve, now or after a quiet time.
     bool isStaying() const noexcept { return !m_beliefs.isLeaving() && !m_drainingSince; }
     /// Whether the target is staying and wants requests now. A target that has had a quiet time takes them at a pace.
-    bool admits(Time now) const noexcept { return isStaying() && now >= m_nextRequest; }
+    bool admits(Time now) const noexcept { return now >= m_admitsFrom; }
     /// When the next request may be sent, unless the target leaves.
     Time nextRequest() const noexcept { return m_nextRequest; }
     /// When a leaving owner's last request may be sent; std::nullopt if it stays. Its keys are handed over until then.
@@ -131,12 +131,15 @@
     const TargetScore &score() const noexcept { return m_score; }
 
 private:
+    void setNextRequest(Time next) noexcept;
+
     TargetTiming m_timing;
     TargetBeliefs m_beliefs;
     TargetScore m_score;
     std::optional<Time> m_drainingSince; ///< By the registry.
     Time m_warmupEnd = 0ms;
     Time m_nextRequest = 0ms;
+    Time m_admitsFrom = 0ms; ///< Of all the above, for the choice among many targets.
 };
 
 /// Beliefs about targets whose entries have vanished from the registry: a lapsed entry comes back with the same
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -158,17 +158,20 @@
     std::uniform_real_distribution<double> jitter(1.0, 1.1);
     for (auto &[id, target] : service.targets) {
         const TargetState &state = target.state;
-        if (!state.isStaying() || (request.attempts != 0 && id == request.target))
+        const TargetScore &score = state.score();
+        if (request.attempts != 0 && id == request.target)
             continue;
-        if (state.isQuiet(now)) {
-            firstQuietEnd = std::min(firstQuietEnd, state.nextRequest());
+        if (!state.admits(now)) {
+            if (state.isStaying() && state.isQuiet(now))
+                firstQuietEnd = std::min(firstQuietEnd, state.nextRequest());
+            else if (state.isStaying() && !score.isEjected(now))
+                isAnyUsable = true; // Soon: it takes requests at a pace.
             continue;
         }
-        const TargetScore &score = state.score();
         if (score.isEjected(now))
             continue;
         isAnyUsable = true;
-        if (!score.hasRoom() || now < state.nextRequest())
+        if (!score.hasRoom())
             continue;
         const bool isRemote = target.entry.failureDomain != m_failureDomain;
         const double cost = score.cost(isRemote, state.isWarmingUp(now), now) * jitter(m_random);
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -52,26 +52,33 @@
     else if (!m_drainingSince)
         m_drainingSince = now;
     m_warmupEnd = now + entry.warmupLeft;
+    setNextRequest(m_nextRequest);
+}
+
+void TargetState::setNextRequest(Time next) noexcept
+{
+    m_nextRequest = std::max(m_nextRequest, next);
+    m_admitsFrom = isStaying() ? m_nextRequest : Time::max();
 }
 
 std::vector<BeliefChange> TargetState::take(const TargetNotice &notice, SignalSource source, Time now)
 {
     auto changes = m_beliefs.take(notice, source, now);
-    m_nextRequest = std::max(m_nextRequest, m_beliefs.quietUntil());
+    setNextRequest(m_beliefs.quietUntil());
     return changes;
 }
 
 void TargetState::restore(const TargetBeliefs &beliefs)
 {
     m_beliefs = beliefs;
-    m_nextRequest = std::max(m_nextRequest, m_beliefs.quietUntil());
+    setNextRequest(m_beliefs.quietUntil());
 }
 
 void TargetState::requestSent(Time now) noexcept
 {
     m_score.attemptStarted();
     if (m_beliefs.quietUntil() != 0ms && now < m_beliefs.quietUntil() + m_timing.readmissionTime)
-        m_nextRequest = std::max(m_nextRequest, now + m_timing.readmissionInterval);
+        setNextRequest(now + m_timing.readmissionInterval);
 }
 
 std::optional<Time> TargetState::keyedEnd() const noexcept
