Keep what is believed of a vanished target for as long as any quiet time, and tell its controller again

Cause: beliefs about a target whose entry had vanished were kept for a minute, while a quiet time may last for five. The router could also keep a belief that the control duty had forgotten: it would then have sent nothing to an owner whose keys nobody hands over.

Change: both keep it for 5 minutes (beliefRetention). The router drops what is due before it takes in entries, and reports a leaving target again when its entry is back. A later incarnation ends the beliefs about an earlier one at once.

The case of an entry removed for good now waits for the longer retention.

--- a/packages/core/include/sardinehinge/core/leavingtargets.h
+++ b/packages/core/include/sardinehinge/core/leavingtargets.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/target.h>
 #include <sardinehinge/core/targetregistry.h>
+#include <sardinehinge/core/targetstate.h>
 
 #include <optional>
 #include <string>
@@ -24,8 +25,6 @@
 {
 public:
     static constexpr Duration tellInterval = std::chrono::milliseconds(500);
-    /// An entry that lapsed is back within this time of the end of an outage.
-    static constexpr Duration retention = std::chrono::minutes(1);
     static constexpr std::size_t maxTargets = 1024; ///< Further ones are ignored.
 
     /// Returns whether the target is new.
--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -13,6 +13,10 @@
 /// Longest quiet time that is obeyed. A longer one that a target asks for counts as this.
 constexpr Duration maxQuietTime = std::chrono::minutes(5);
 
+/// How long beliefs about a target whose entry has vanished from the registry are kept. A lapsed entry comes back
+/// within seconds of the end of an outage; no quiet time is longer.
+constexpr Duration beliefRetention = maxQuietTime;
+
 /// What a target says about itself in an answer.
 struct TargetNotice
 {
@@ -81,6 +85,8 @@
     /// Returns all beliefs as ended: another incarnation runs, or the target's entry is gone for good.
     std::vector<BeliefChange> drop(Time now) const;
 
+    /// Returns the belief that the target is leaving, if there is one, as if it began now.
+    std::vector<BeliefChange> leaving() const;
     bool isLeaving() const noexcept { return m_leavingSince.has_value(); }
     std::optional<Time> leavingSince() const noexcept { return m_leavingSince; }
     bool isQuiet(Time now) const noexcept { return now < m_quietUntil; }
@@ -147,8 +153,6 @@
 class DepartedTargets
 {
 public:
-    /// A vanished entry comes back within seconds of the end of an outage.
-    static constexpr Duration retention = std::chrono::minutes(1);
     static constexpr std::size_t maxTargets = 256; ///< The oldest gives way.
 
     struct Departed
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -15,22 +15,31 @@
         serviceOf(name);
     for (auto &[name, service] : m_services) {
         const auto &entries = byService[name];
-        std::erase_if(service.targets, [&entries = entries, &service = service, now](const auto &known) {
+        std::erase_if(service.targets, [this, &entries, &name = name, &service = service, now](const auto &known) {
             const auto found = entries.find(known.first);
-            if (found != entries.end() && found->second->identity == known.second.entry.identity)
+            const TargetIdentity &identity = known.second.entry.identity;
+            if (found != entries.end() && found->second->identity == identity)
                 return false;
-            if (const TargetBeliefs &beliefs = known.second.state.beliefs(); beliefs.isAny(now))
-                service.departed.beliefs(known.second.entry.identity, now) = beliefs;
+            const TargetBeliefs &beliefs = known.second.state.beliefs();
+            if (found != entries.end() && found->second->identity.incarnation > identity.incarnation)
+                reportBeliefs(name, identity, beliefs.drop(now));
+            else if (beliefs.isAny(now))
+                service.departed.beliefs(identity, now) = beliefs;
             return true;
         });
+        for (const DepartedTargets::Departed &departed : service.departed.expire(now))
+            reportBeliefs(name, departed.target, departed.beliefs.drop(now));
         for (const auto &[id, entry] : entries) {
             const auto [found, isNew] = service.targets.try_emplace(id);
             Target &target = found->second;
             target.entry = *entry;
             if (isNew) {
                 target.state = TargetState(m_limits.targets);
-                if (const auto beliefs = service.departed.take(entry->identity))
+                if (const auto beliefs = service.departed.take(entry->identity)) {
                     target.state.restore(*beliefs);
+                    // The controller may have forgotten it meanwhile.
+                    reportBeliefs(name, entry->identity, beliefs->leaving());
+                }
             }
             target.state.registered(*entry, now);
         }
--- a/packages/core/src/leavingtargets.cpp
+++ b/packages/core/src/leavingtargets.cpp
@@ -24,7 +24,7 @@
             return true;
         if (known == nullptr || known->identity != target) {
             entry.missingSince = entry.missingSince.value_or(now);
-            return now >= *entry.missingSince + retention;
+            return now >= *entry.missingSince + beliefRetention;
         }
         entry.missingSince.reset();
         if (!known->isDraining && now >= entry.nextTell) {
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -45,6 +45,13 @@
     return ended;
 }
 
+std::vector<BeliefChange> TargetBeliefs::leaving() const
+{
+    if (!m_leavingSince)
+        return {};
+    return {{TargetSignal::Leaving, m_leavingSource, true, 0ms}};
+}
+
 void TargetState::registered(const RegisteredTarget &entry, Time now) noexcept
 {
     if (!entry.isDraining)
@@ -128,7 +135,7 @@
 std::vector<DepartedTargets::Departed> DepartedTargets::expire(Time now)
 {
     const auto kept = std::find_if(m_targets.begin(), m_targets.end(),
-                                   [now](const Departed &each) { return now < each.since + retention; });
+                                   [now](const Departed &each) { return now < each.since + beliefRetention; });
     std::vector<Departed> expired(std::make_move_iterator(m_targets.begin()), std::make_move_iterator(kept));
     m_targets.erase(m_targets.begin(), kept);
     return expired;
--- a/packages/core/tests/targetrules_test.cpp
+++ b/packages/core/tests/targetrules_test.cpp
@@ -351,6 +351,6 @@
         CHECK(leaving.add({keyed, {"t" + std::to_string(index), 1}}) == (index < LeavingTargets::maxTargets));
     CHECK(leaving.takeDue(registry, 10s).empty());
     CHECK_FALSE(leaving.add({keyed, {"t0", 1}}));
-    CHECK(leaving.takeDue(registry, 10s + LeavingTargets::retention).empty());
+    CHECK(leaving.takeDue(registry, 10s + beliefRetention).empty());
     CHECK(leaving.add({keyed, {"t0", 1}}));
 }
--- a/packages/core/tests/targetstate_test.cpp
+++ b/packages/core/tests/targetstate_test.cpp
@@ -69,7 +69,7 @@
     const auto [name, incarnation, lapse, isUsed] = GENERATE(values<Case>({
         {"listed as ready", 1, 0ms, false},
         {"back after a lapse", 1, 20s, false},
-        {"back after its entry had been removed for good", 1, Duration(std::chrono::minutes(2)), true},
+        {"back after its entry had been removed for good", 1, beliefRetention, true},
         {"restarted", 2, 0ms, true},
         {"restarted after a lapse", 2, 20s, true},
     }));
@@ -81,13 +81,18 @@
     if (lapse != 0ms) {
         bench.take(bench.router.setTargets({}, bench.now));
         bench.now += lapse;
-        bench.take(bench.router.surveyTargets(bench.now));
     }
     auto targets = targetsOf(plain, 1);
     targets[0].identity.incarnation = incarnation;
     bench.take(bench.router.setTargets(targets, bench.now));
     bench.arrive("/write/");
     CHECK((bench.sends.size() == 2) == isUsed);
+    // It is reported again when the entry is back.
+    const auto begun = std::count_if(bench.beliefs.begin(), bench.beliefs.end(),
+                                     [](const TargetBelief &belief) { return belief.change.hasBegun; });
+    CHECK(begun == (lapse != 0ms && !isUsed ? 2 : 1));
+    const auto ended = static_cast<std::ptrdiff_t>(bench.beliefs.size()) - begun;
+    CHECK(ended == (isUsed && (lapse == 0ms || lapse == beliefRetention) ? 1 : 0));
     CHECK(bench.ends.size() == (isUsed ? 0 : 1));
 }
 
@@ -281,6 +286,6 @@
         departed.beliefs({"t", index}, 10s).take(leaving, SignalSource::Request, 10s);
     CHECK_FALSE(departed.take({"t", 0}));
     CHECK(departed.take({"t", (2 * DepartedTargets::maxTargets) - 1}));
-    CHECK(departed.expire(10s + DepartedTargets::retention - Duration(1)).empty());
-    CHECK(departed.expire(10s + DepartedTargets::retention).size() == DepartedTargets::maxTargets - 1);
+    CHECK(departed.expire(10s + beliefRetention - Duration(1)).empty());
+    CHECK(departed.expire(10s + beliefRetention).size() == DepartedTargets::maxTargets - 1);
 }
