--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -67,5 +67,8 @@
 constexpr std::uint32_t storeEraSeen = 625;
 constexpr std::uint32_t targetEntryOutdated = 626;
 constexpr std::uint32_t rangeRestoreNeeded = 627;
+constexpr std::uint32_t targetBeliefBegan = 630;
+constexpr std::uint32_t targetBeliefEnded = 631;
+constexpr std::uint32_t targetLeavingTold = 632;
 
 } // namespace sardinehinge::core::events
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -3,6 +3,7 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/leavingtargets.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/targetregistry.h>
 #include <sardinehinge/core/watchroster.h>
@@ -82,6 +83,10 @@
     void act(const std::string &service, const core::ControlLogEntry &effect);
     void take(const ServiceKeyLoad &report);
     void take(const core::OwnerRefused &report);
+    void take(const core::TargetBelief &report);
+    void takeLeaving(const std::string &service, const core::TargetIdentity &target);
+    void handOver(const std::string &service);
+    void tellLeaving(core::Time now);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
     // The other daemons. In gatewaycontrol_peers.cpp.
@@ -102,6 +107,7 @@
     void heard(const std::string &from, const protocol::Hello &message);
     void heard(const std::string &from, const core::WatchNotice &message);
     void heard(const std::string &from, const protocol::TargetChanges &message);
+    void heard(const std::string &from, const protocol::LeavingMessage &message);
     void send(const std::string &to, const protocol::GatewayMessage &message);
     void sendToAll(const protocol::GatewayMessage &message);
 
@@ -135,6 +141,7 @@
     std::uint64_t m_configVersion = 0;
     core::StoreEra m_era = 0; ///< The latest that an answer of the store or another daemon told of.
     core::TargetRegistry m_registry;
+    core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
     core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
