--- a/packages/core/tests/rangecontrol_test.cpp
+++ b/packages/core/tests/rangecontrol_test.cpp
@@ -113,6 +113,25 @@
     }
 }
 
+TEST_CASE("A restarted target takes no grant from a controller that has been replaced")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        RangeWorld world(seed, {});
+        world.run(5s, true);
+        const std::size_t former = world.controllerIndex();
+        // Still confirmed by the store, but heard by nobody: others claim control, which it learns a second later.
+        world.cutPeers(former, true);
+        for (int round = 0; round < 40 && world.violations().empty(); ++round) {
+            world.run(100ms, true);
+            world.rebearTarget(world.holders().front(), true, 1000ms);
+        }
+        INFO(world.trace());
+        for (const std::string &violation : world.violations())
+            FAIL(violation);
+    }
+}
+
 TEST_CASE("The checker reports a grant that repeats the fence of another process")
 {
     RangeWorld world(1, {});
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -52,6 +52,7 @@
     void killDaemon(std::size_t index);
     void freezeDaemon(std::size_t index, Duration length);
     void cutStore(std::size_t index, bool isCut) { m_daemons[index].isCutFromStore = isCut; }
+    void cutPeers(std::size_t index, bool isCut) { m_daemons[index].isCutFromPeers = isCut; }
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     /// Takes the store away for `away`. It returns from the copy of `age` before now, in a new era.
     void restoreStore(Duration age, Duration away);
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -539,3 +539,41 @@
     }
     CHECK(peer.connections() == (isReused ? 1 : 2));
 }
+
+TEST_CASE("An exchange that may open no connection uses one that was opened before, or sends nothing")
+{
+    boost::asio::io_context context;
+    ScriptedPeer peer({"answers", true, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false});
+    http::Client client(context);
+    http::ExchangeOptions options;
+    options.timeout = timeout;
+    options.opensConnections = false;
+    std::vector<http::ExchangeOutcome> outcomes;
+    const auto send = [&](const std::string &address) {
+        client.send(address, {"POST", "/", {}, {}, {}}, options,
+                    [&](const http::ExchangeResult &end) { outcomes.push_back(end.outcome); });
+        context.restart();
+        context.run();
+    };
+    std::vector<bool> opened;
+    const auto connect = [&](const std::string &address) {
+        client.connect(address, [&](bool isOpen) { opened.push_back(isOpen); });
+        context.restart();
+        context.run();
+    };
+    send(peer.address());
+    CHECK(peer.requests == 0);
+    connect(peer.address());
+    send(peer.address());
+    CHECK(peer.requests == 1);
+    std::string closedAddress;
+    {
+        const tcp::acceptor closed(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        closedAddress = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+    }
+    connect(closedAddress);
+    connect("not an address");
+    using Outcome = http::ExchangeOutcome;
+    CHECK(outcomes == std::vector{Outcome::NoOpenConnection, Outcome::Complete});
+    CHECK(opened == std::vector{true, false, false});
+}
