Report each connection of a caller that the server closes, and why

A close by the server left no line, so that a request without an answer could not be told from one that its caller gave up. E625 names the reason, how long the connection had been idle, the requests read on it and whether input was left unread. The log's own bounds apply to it; what is usual (idle timeout and drain with nothing unread) counts as a detail. The limit of connections now applies in one place. No other change of behaviour.

Test: A connection that the server closes is reported with the reason and whether input was left.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -64,5 +64,6 @@
 constexpr std::uint32_t peerJoined = 622;
 constexpr std::uint32_t watchModeChanged = 623;
 constexpr std::uint32_t taskFailed = 624;
+constexpr std::uint32_t callerConnectionClosed = 625;
 
 } // namespace sardinehinge::core::events
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -83,6 +83,27 @@
     return "unknown";
 }
 
+const char *nameOf(http::CloseReason reason)
+{
+    switch (reason) {
+    case http::CloseReason::IdleTimeout:
+        return "idle_timeout";
+    case http::CloseReason::ReadTimeout:
+        return "read_timeout";
+    case http::CloseReason::ReadFailed:
+        return "read_failed";
+    case http::CloseReason::WriteFailed:
+        return "write_failed";
+    case http::CloseReason::Drain:
+        return "drain";
+    case http::CloseReason::ConnectionLimit:
+        return "connection_limit";
+    case http::CloseReason::CallerLeft:
+        return "caller_left";
+    }
+    return "unknown";
+}
+
 std::int64_t milliseconds(core::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -259,6 +280,15 @@
     return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
 }
 
+void GatewayTraffic::connectionClosed(const http::ConnectionEnd &end)
+{
+    const bool isUsual = end.reason == http::CloseReason::IdleTimeout || end.reason == http::CloseReason::Drain;
+    m_events.record(isUsual && !end.hasInput ? Severity::Debug : Severity::Info, core::events::callerConnectionClosed,
+                    "peer=" + end.peer + " reason=" + nameOf(end.reason)
+                        + " idle_ms=" + std::to_string(milliseconds(end.idleTime))
+                        + " requests=" + std::to_string(end.requests) + " input=" + (end.hasInput ? "yes" : "no"));
+}
+
 void GatewayTraffic::carryOut(const core::GatewayRouter::Effects &effects)
 {
     for (const core::GatewayEffect &effect : effects)
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -73,6 +73,7 @@
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
     void callerDisconnected(std::uint64_t exchange) override;
     http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
+    void connectionClosed(const http::ConnectionEnd &end) override;
 
     void take(const GatewayConfigUpdate &update);
     void take(const GatewayTargetsUpdate &update);
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -39,6 +39,21 @@
     virtual void sendTruncated(Response response, std::size_t bytes) = 0;
 };
 
+/// Why a connection of a caller was closed other than after a response or by an idle caller.
+enum class CloseReason { IdleTimeout, ReadTimeout, ReadFailed, WriteFailed, Drain, ConnectionLimit, CallerLeft };
+
+/// A closed connection of a caller.
+struct ConnectionEnd
+{
+    CloseReason reason{};
+    std::string peer;
+    core::Duration idleTime{}; ///< Since the last response, or since the connection was accepted.
+    std::uint64_t requests = 0; ///< That were read on it.
+    bool hasInput = false; ///< Bytes of the caller were left unread.
+
+    bool operator==(const ConnectionEnd &) const = default;
+};
+
 /// Handles the requests of a server. Called on the server's io_context, with one request per connection at a time.
 class RequestHandler
 {
@@ -50,6 +65,8 @@
     virtual void callerDisconnected(std::uint64_t exchange) = 0;
     /// Returns the response to a request that couldn't be read; `detail` gives the reason.
     virtual Response rejection(int status, const std::string &detail, const std::string &peer) = 0;
+    /// Called when the server closes a connection for one of the reasons of CloseReason.
+    virtual void connectionClosed(const ConnectionEnd &) { }
 };
 
 /// A strict HTTP/1.1 server over Boost.Beast.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -39,6 +39,7 @@
     }
 
     void accept();
+    void take(tcp::socket socket);
     void acceptPending();
     void forEachConnection(const std::function<void(Connection &)> &action);
 
@@ -91,10 +92,11 @@
     void awaitRequest()
     {
         m_phase = Phase::Idle;
+        m_idleSince = std::chrono::steady_clock::now();
         if (m_buffer.size() != 0)
             return readRequest();
-        if (m_state->isDraining && m_hasServed && !hasInput())
-            return close();
+        if (m_state->isDraining && m_requests != 0 && !hasInput())
+            return close(CloseReason::Drain);
         limitIdleTime(m_state->isDraining ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
                                           : m_state->limits.idleTimeout);
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
@@ -111,10 +113,18 @@
     {
         if (m_phase != Phase::Idle)
             return;
-        if (!m_hasServed)
+        if (m_requests == 0)
             limitIdleTime(std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout));
         else if (!hasInput())
-            close();
+            close(CloseReason::Drain);
+    }
+
+    void close(CloseReason reason)
+    {
+        if (m_phase != Phase::Closed)
+            m_state->handler.connectionClosed(
+                {reason, m_peer, std::chrono::steady_clock::now() - m_idleSince, m_requests, hasInput()});
+        close();
     }
 
     void close()
@@ -178,7 +188,7 @@
         m_idleTimer.expires_after(timeout);
         m_idleTimer.async_wait([self = shared_from_this()](ErrorCode error) {
             if (!error && self->m_phase == Phase::Idle && !self->hasInput())
-                self->close();
+                self->close(CloseReason::IdleTimeout);
         });
     }
 
@@ -211,9 +221,10 @@
 
     void readFailed(ErrorCode error)
     {
-        if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted
-            || error == beast::http::error::partial_message || error == asio::error::connection_reset)
+        if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted)
             return close();
+        if (error == beast::http::error::partial_message || error == asio::error::connection_reset)
+            return close(CloseReason::ReadFailed);
         reject(statusFor(error), error.message());
     }
 
@@ -223,8 +234,8 @@
             return readFailed(error);
         // The caller may have left while the request waited to be read.
         if (input() == Input::Closed)
-            return close();
-        m_hasServed = true;
+            return close(CloseReason::CallerLeft);
+        ++m_requests;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
         m_keepAlive = m_parser->get().keep_alive();
@@ -308,7 +319,9 @@
         m_stream.expires_after(m_state->limits.writeTimeout);
         beast::http::async_write(m_stream, *message,
                                  [self = shared_from_this(), message, keepAlive](ErrorCode error, std::size_t) {
-                                     if (error || !keepAlive)
+                                     if (error)
+                                         return self->close(CloseReason::WriteFailed);
+                                     if (!keepAlive)
                                          return self->close();
                                      self->awaitRequest();
                                  });
@@ -356,7 +369,8 @@
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
-    bool m_hasServed = false; ///< A request has been read on this connection.
+    std::uint64_t m_requests = 0; ///< Read on this connection.
+    std::chrono::steady_clock::time_point m_idleSince; ///< Start of the wait for the next request.
 };
 
 } // namespace
@@ -366,12 +380,22 @@
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
         if (self->isDraining || self->isStopped || error == asio::error::operation_aborted)
             return;
-        if (!error && self->open.size() < self->limits.connections)
-            std::make_shared<Connection>(self, std::move(socket))->awaitRequest();
+        if (!error)
+            self->take(std::move(socket));
         self->accept();
     });
 }
 
+/// Waits for the requests of a new connection, or closes it if there are too many.
+void Server::State::take(tcp::socket socket)
+{
+    const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    if (open.size() <= limits.connections)
+        connection->awaitRequest();
+    else
+        connection->close(CloseReason::ConnectionLimit);
+}
+
 /// Accepts the connections that callers have opened already: closing the listening socket would reset them.
 void Server::State::acceptPending()
 {
@@ -381,7 +405,7 @@
         tcp::socket socket(context);
         acceptor.accept(socket, error);
         if (!error)
-            std::make_shared<Connection>(shared_from_this(), std::move(socket))->awaitRequest();
+            take(std::move(socket));
     }
 }
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <mutex>
 #include <thread>
 
 using namespace sardinehinge;
@@ -42,6 +43,18 @@
 
     void callerDisconnected(std::uint64_t) override { ++disconnected; }
 
+    void connectionClosed(const http::ConnectionEnd &end) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed.push_back(end);
+    }
+
+    std::vector<http::ConnectionEnd> closed() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
     http::Response rejection(int status, const std::string &detail, const std::string &) override
     {
         return {status, {}, detail};
@@ -53,6 +66,8 @@
 
 private:
     boost::asio::io_context &m_context;
+    mutable std::mutex m_mutex;
+    std::vector<http::ConnectionEnd> m_closed;
 };
 
 http::ServerLimits smallLimits()
@@ -332,3 +347,43 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(250));
     CHECK(running.handler.handled == 0);
 }
+
+TEST_CASE("A connection that the server closes is reported with the reason and whether input was left")
+{
+    struct Case
+    {
+        http::CloseReason reason;
+        std::string sent; ///< After a first request.
+        std::uint64_t requests;
+    };
+    const auto [reason, sent, requests] = GENERATE(values<Case>({
+        {http::CloseReason::IdleTimeout, "", 1},
+        {http::CloseReason::Drain, "", 1},
+        {http::CloseReason::ReadFailed, "GET /cut HT", 1},
+        {http::CloseReason::CallerLeft, "GET /left HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        {http::CloseReason::ConnectionLimit, "", 0},
+    }));
+    INFO(static_cast<int>(reason));
+    http::ServerLimits limits = smallLimits();
+    limits.idleTimeout = std::chrono::milliseconds(reason == http::CloseReason::IdleTimeout ? 200 : 10000);
+    limits.connections = reason == http::CloseReason::ConnectionLimit ? 0 : limits.connections;
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.receive("/first");
+    if (!sent.empty()) {
+        running.stall(std::chrono::milliseconds(100));
+        caller.send(sent);
+        caller.close();
+    }
+    if (reason == http::CloseReason::Drain)
+        boost::asio::post(running.context, [&] { running.server.drain(); });
+    REQUIRE(waitFor([&] { return running.handler.closed().size() == 1; }));
+    const http::ConnectionEnd end = running.handler.closed().front();
+    CHECK(end.reason == reason);
+    CHECK(end.requests == requests);
+    if (reason == http::CloseReason::IdleTimeout) {
+        CHECK(end.idleTime >= std::chrono::milliseconds(200));
+        CHECK_FALSE(end.hasInput);
+    }
+}
