Answer connections that were accepted when a drain begins

Callers saw a reset on a new connection beside a SIGTERM, with their request sent. After each accepted connection the server accepts the next one at once; a drain that ran before that completion was handled made it drop the socket. The drain has closed the listening socket by then and finds nothing that waits, so that nobody answered.

Test: A drain answers a connection that was accepted when it began but not yet served.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -378,11 +378,12 @@
 void Server::State::accept()
 {
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
-        if (self->isDraining || self->isStopped || error == asio::error::operation_aborted)
+        if (self->isStopped)
             return;
         if (!error)
-            self->take(std::move(socket));
-        self->accept();
+            self->take(std::move(socket)); // A drain may have begun since the connection was accepted.
+        if (!self->isDraining && error != asio::error::operation_aborted)
+            self->accept();
     });
 }
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -387,3 +387,23 @@
         CHECK_FALSE(end.hasInput);
     }
 }
+
+TEST_CASE("A drain answers a connection that was accepted when it began but not yet served")
+{
+    boost::asio::io_context context(1);
+    EchoHandler handler(context);
+    http::Server server(context, handler, smallLimits());
+    REQUIRE(core::errorIn(server.listen("127.0.0.1:0")) == nullptr);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int count = 0; count < 3; ++count) {
+        callers.push_back(std::make_unique<RawCaller>(server.port()));
+        callers.back()->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    // The reactor reports the listening socket first, then the drain is queued.
+    boost::asio::post(context, [] {});
+    context.poll_one();
+    boost::asio::post(context, [&server] { server.drain(); });
+    context.run_for(std::chrono::seconds(1));
+    for (const auto &caller : callers)
+        CHECK(caller->receive().find("/last") != std::string::npos);
+}
