Read what has arrived before a request counts as too slow, and send the 408

Callers whose request was not complete in time saw their connection closed: the stream's own timer closes the socket, so that the 408 that the header of the server promises could not be written. The class of fault is that of the idle timer: a timer that decides without a look at the socket.

The read timeout now has a timer of the server's own, as the idle timeout has. Evidence: the test of the 408 fails before the change (an empty response).

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -25,6 +25,8 @@
 
 /// A drained server waits this long for the first request of a connection that it has just accepted.
 constexpr std::chrono::milliseconds newConnectionGrace(500);
+/// A process that runs late finds the read timeout expired and input waiting: the time in which it reads that.
+constexpr std::chrono::milliseconds lateInputGrace(100);
 
 } // namespace
 
@@ -69,8 +71,8 @@
     Connection(StatePointer state, tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
-        , m_idleTimer(m_state->context)
-        , m_buffer(m_state->limits.headerBytes + 8 * 1024)
+        , m_timer(m_state->context)
+        , m_buffer(m_state->limits.headerBytes + readAheadBytes)
     {
         ErrorCode ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -97,8 +99,7 @@
             return readRequest();
         if (m_state->isDraining && m_requests != 0 && !hasInput())
             return close(CloseReason::Drain);
-        limitIdleTime(m_state->isDraining ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
-                                          : m_state->limits.idleTimeout);
+        limitIdleTime();
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
             if (self->m_phase != Phase::Idle)
                 return;
@@ -113,10 +114,12 @@
     {
         if (m_phase != Phase::Idle)
             return;
-        if (m_requests == 0)
-            limitIdleTime(std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout));
-        else if (!hasInput())
+        if (m_requests == 0) {
+            m_idleSince = std::chrono::steady_clock::now();
+            limitIdleTime();
+        } else if (!hasInput()) {
             close(CloseReason::Drain);
+        }
     }
 
     void close(CloseReason reason)
@@ -130,7 +133,7 @@
     void close()
     {
         m_phase = Phase::Closed;
-        m_idleTimer.cancel();
+        m_timer.cancel();
         ErrorCode ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
@@ -165,6 +168,10 @@
     }
 
 private:
+    /// Beyond the header: the start of a body or of the next request.
+    static constexpr std::size_t readAheadBytes = 8 * 1024UL;
+    static constexpr int statusTimeout = 408;
+
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
     enum class Input { None, Bytes, Closed };
 
@@ -181,25 +188,49 @@
     }
     bool hasInput() { return m_buffer.size() != 0 || input() == Input::Bytes; }
 
-    /// Closes the connection when it has been idle for `timeout`. A process that runs late finds the timer expired
-    /// although a request has arrived in time, so that is checked first.
-    void limitIdleTime(core::Duration timeout)
+    bool isNewInDrain() const { return m_state->isDraining && m_requests == 0; }
+
+    core::Duration idleTimeout() const
+    {
+        return isNewInDrain() ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
+                              : m_state->limits.idleTimeout;
+    }
+
+    /// Closes the connection when it has been idle for the timeout. A process that runs late finds
+    /// the timer expired although a request has arrived in time, so that is checked first.
+    void limitIdleTime()
     {
-        m_idleTimer.expires_after(timeout);
-        m_idleTimer.async_wait([self = shared_from_this()](ErrorCode error) {
-            if (!error && self->m_phase == Phase::Idle && !self->hasInput())
-                self->close(CloseReason::IdleTimeout);
+        m_timer.expires_at(m_idleSince + idleTimeout());
+        m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (error || self->m_phase != Phase::Idle || self->hasInput())
+                return;
+            self->close(CloseReason::IdleTimeout);
+        });
+    }
+
+    /// Rejects a request that isn't complete in time. As above, what has arrived by then is read first, in a grace
+    /// period.
+    void limitReadTime(core::Duration timeout, bool isGrace = false)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), request = m_requests, isGrace](ErrorCode error) {
+            if (error || self->m_phase != Phase::Reading || request != self->m_requests)
+                return;
+            if (!isGrace || self->input() == Input::Bytes)
+                return self->limitReadTime(lateInputGrace, true);
+            self->m_stream.cancel();
+            self->reject(statusTimeout, "the request was not complete in time");
         });
     }
 
     void readRequest()
     {
         m_phase = Phase::Reading;
-        m_idleTimer.cancel();
         m_parser.emplace();
         m_parser->header_limit(m_state->limits.headerBytes);
         m_parser->body_limit(m_state->limits.bodyBytes);
-        m_stream.expires_after(m_state->limits.readTimeout);
+        m_stream.expires_never();
+        limitReadTime(m_state->limits.readTimeout);
         beast::http::async_read_header(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](ErrorCode error, std::size_t) { self->headerRead(error); });
@@ -207,6 +238,8 @@
 
     void headerRead(ErrorCode error)
     {
+        if (m_phase != Phase::Reading)
+            return;
         if (error)
             return readFailed(error);
         if (const std::string fault = framingError(); !fault.empty())
@@ -230,11 +263,14 @@
 
     void requestRead(ErrorCode error)
     {
+        if (m_phase != Phase::Reading)
+            return;
         if (error)
             return readFailed(error);
         // The caller may have left while the request waited to be read.
         if (input() == Input::Closed)
             return close(CloseReason::CallerLeft);
+        m_timer.cancel();
         ++m_requests;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
@@ -268,14 +304,13 @@
             return 431;
         if (error == beast::http::error::body_limit)
             return 413;
-        if (error == beast::error::timeout)
-            return 408;
         return 400;
     }
 
     void reject(int status, const std::string &detail)
     {
         m_phase = Phase::Handling;
+        m_timer.cancel();
         write(m_state->handler.rejection(status, detail, m_peer), false);
     }
 
@@ -362,7 +397,7 @@
 
     StatePointer m_state;
     beast::tcp_stream m_stream;
-    asio::steady_timer m_idleTimer;
+    asio::steady_timer m_timer; ///< While idle or reading.
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::string m_peer;
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -407,3 +407,33 @@
     for (const auto &caller : callers)
         CHECK(caller->receive().find("/last") != std::string::npos);
 }
+
+TEST_CASE("A request whose rest arrived in time is answered although the server ran after the read timeout")
+{
+    const auto [first, rest] = GENERATE(values<std::pair<std::string, std::string>>({
+        {"GET /whole HTTP/1.1\r\nHost", ": x\r\n\r\n"},
+        {"POST /whole HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab", "cd"},
+        {"POST /whole HTTP/1.1\r\nHost", ": x\r\nContent-Length: 4\r\n\r\nabcd"},
+    }));
+    INFO(first);
+    http::ServerLimits limits = smallLimits();
+    limits.readTimeout = std::chrono::milliseconds(800);
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send(first);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    running.stall(std::chrono::milliseconds(1200));
+    caller.send(rest);
+    CHECK(caller.receive("/whole").find("/whole") != std::string::npos);
+}
+
+TEST_CASE("A request that isn't complete at the read timeout is rejected with 408")
+{
+    const auto incomplete
+        = GENERATE(as<std::string>(), "GET / HT", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    RunningServer running;
+    RawCaller caller(running.server.port());
+    caller.send(incomplete);
+    CHECK(caller.receive().substr(0, 12) == "HTTP/1.1 408");
+    CHECK(running.handler.handled == 0);
+}
