Apply raised limits to the connections that are open

Beside a configuration that raises idle-timeout or max-header-bytes, callers on open connections were treated by the limits before it: closed after the former idle timeout, which crosses the requests of callers that reuse connections for up to four fifths of the new one, or answered 400 for a header within the new limit. The idle timer and the size of the read buffer were set once, from the limits at that time.

The timer looks at the timeout in force when it expires, and the buffer gets its size with each request. A lowered idle timeout applies from the next wait on, as before. Evidence: each section of the test fails before the change.

Test: Raised limits apply to the connections that are open.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -72,7 +72,6 @@
         : m_state(std::move(state))
         , m_stream(std::move(socket))
         , m_timer(m_state->context)
-        , m_buffer(m_state->limits.headerBytes + readAheadBytes)
     {
         ErrorCode ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -196,7 +195,7 @@
                               : m_state->limits.idleTimeout;
     }
 
-    /// Closes the connection when it has been idle for the timeout. A process that runs late finds
+    /// Closes the connection when it has been idle for the timeout that applies then. A process that runs late finds
     /// the timer expired although a request has arrived in time, so that is checked first.
     void limitIdleTime()
     {
@@ -204,6 +203,8 @@
         m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
             if (error || self->m_phase != Phase::Idle || self->hasInput())
                 return;
+            if (std::chrono::steady_clock::now() < self->m_idleSince + self->idleTimeout())
+                return self->limitIdleTime();
             self->close(CloseReason::IdleTimeout);
         });
     }
@@ -229,6 +230,7 @@
         m_parser.emplace();
         m_parser->header_limit(m_state->limits.headerBytes);
         m_parser->body_limit(m_state->limits.bodyBytes);
+        m_buffer.max_size(std::max<std::size_t>(m_state->limits.headerBytes + readAheadBytes, m_buffer.size()));
         m_stream.expires_never();
         limitReadTime(m_state->limits.readTimeout);
         beast::http::async_read_header(
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -437,3 +437,34 @@
     CHECK(caller.receive().substr(0, 12) == "HTTP/1.1 408");
     CHECK(running.handler.handled == 0);
 }
+
+TEST_CASE("Raised limits apply to the connections that are open")
+{
+    http::ServerLimits limits = smallLimits();
+    limits.idleTimeout = std::chrono::milliseconds(600);
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.receive("/first").find("/first") != std::string::npos);
+    limits.idleTimeout = std::chrono::milliseconds(2500);
+    limits.headerBytes = 32 * 1024;
+    boost::asio::post(running.context, [&] { running.server.setLimits(limits); });
+    SECTION("a request within the raised idle timeout")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(800));
+        caller.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(caller.receive("/second").find("/second") != std::string::npos);
+    }
+    SECTION("a header within the raised limit")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        caller.send("GET /second HTTP/1.1\r\nHost: x\r\nX: " + std::string(20000, 'x') + "\r\n\r\n");
+        CHECK(caller.receive("/second").find("200 OK") != std::string::npos);
+    }
+    SECTION("no request: closed after the raised idle timeout")
+    {
+        const auto start = std::chrono::steady_clock::now();
+        CHECK(caller.receive().empty());
+        CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(1500));
+    }
+}
