Answer a request whose handler throws

A caller whose request made the handler throw got neither an answer nor a refusal until it left: the exception ended the task, while the connection waited for a response without any timeout.

The request is answered with 500, its handler is told that the request is over, and the exception goes on to the worker, which reports it. No input is known that makes the gateway's handler throw.

Test: A request whose handler throws is answered with 500, and the exception is reported.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -170,6 +170,7 @@
     /// Beyond the header: the start of a body or of the next request.
     static constexpr std::size_t readAheadBytes = 8 * 1024UL;
     static constexpr int statusTimeout = 408;
+    static constexpr int statusInternalError = 500;
 
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
     enum class Input { None, Bytes, Closed };
@@ -280,7 +281,15 @@
         m_stream.expires_never();
         auto responder = std::make_shared<ConnectionResponder>(weak_from_this(), m_exchangeId);
         watchForDisconnect(m_exchangeId);
-        m_state->handler.handle(m_exchangeId, takeRequest(), std::move(responder));
+        try {
+            m_state->handler.handle(m_exchangeId, takeRequest(), std::move(responder));
+        } catch (...) {
+            // Nothing else would answer the request or forget it.
+            if (m_phase == Phase::Handling)
+                reject(statusInternalError, "the request could not be handled");
+            m_state->handler.callerDisconnected(m_exchangeId);
+            throw;
+        }
     }
 
     /// Rejects framing that Beast's parser accepts but that leaves the end of the request ambiguous. Returns the error
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -17,7 +17,7 @@
 
 constexpr auto responseTimeout = std::chrono::seconds(5);
 
-/// Responds with the target and the body; to `/slow` after 100 ms, to `/never` not at all.
+/// Responds with the target and the body; to `/slow` after 100 ms, to `/never` not at all; `/throw` throws.
 class EchoHandler : public http::RequestHandler
 {
 public:
@@ -33,6 +33,8 @@
             kept.push_back(responder);
             return;
         }
+        if (request.target == "/throw")
+            throw std::runtime_error("unexpected");
         if (request.target != "/slow")
             return responder->send({200, {}, request.target + " " + request.body});
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(100));
@@ -91,7 +93,13 @@
         REQUIRE(core::errorIn(server.listen("127.0.0.1:0")) == nullptr);
         m_thread = std::thread([this] {
             const auto guard = boost::asio::make_work_guard(context);
-            context.run();
+            while (!context.stopped()) {
+                try {
+                    context.run();
+                } catch (const std::runtime_error &) {
+                    ++exceptions;
+                }
+            }
         });
     }
 
@@ -115,6 +123,7 @@
     boost::asio::io_context context{1};
     EchoHandler handler;
     http::Server server;
+    std::atomic<int> exceptions = 0; ///< That left a task.
 
 private:
     std::thread m_thread;
@@ -468,3 +477,14 @@
         CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(1500));
     }
 }
+
+TEST_CASE("A request whose handler throws is answered with 500, and the exception is reported")
+{
+    RunningServer running;
+    RawCaller caller(running.server.port());
+    caller.send("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(caller.receive().substr(0, 12) == "HTTP/1.1 500");
+    CHECK(running.exceptions == 1);
+    CHECK(running.handler.disconnected == 1);
+    CHECK(waitFor([&] { return running.server.connections() == 0; }));
+}
