Take each value of a ring once, also when its handling throws

consume_all advances the queue only after its last call: a value whose handling threw had been deleted and was taken again, and the values behind it waited for the next push. Such a value is an update of the configuration, of targets or of owners.

Values are popped one by one, and the consumer is woken again after an exception. Evidence: before the change the test ends with malloc's report of a corrupted chunk; no handling is known that throws.

Test: A value whose handling throws is taken once, and the values behind it aren't lost.

--- a/packages/daemon/include/sardinehinge/daemon/ring.h
+++ b/packages/daemon/include/sardinehinge/daemon/ring.h
@@ -45,16 +45,24 @@
         return true;
     }
 
-    /// Calls `take` with each value that is here, in order.
+    /// Calls `take` with each value that is here, in order. After an exception of `take` the consumer is woken again
+    /// for the values that are left.
     template<typename Function>
     void drain(Function take)
     {
         // Cleared first: a value pushed from now on wakes the consumer again.
         m_isWakePending.store(false);
-        m_queue.consume_all([&take](T *value) {
-            const std::unique_ptr<T> owned(value);
-            take(std::move(*owned));
-        });
+        try {
+            T *value = nullptr;
+            while (m_queue.pop(value)) {
+                const std::unique_ptr<T> owned(value);
+                take(std::move(*owned));
+            }
+        } catch (...) {
+            if (!m_isWakePending.exchange(true))
+                m_wake();
+            throw;
+        }
     }
 
     /// Values that found the ring full so far.
--- a/packages/daemon/tests/ring_test.cpp
+++ b/packages/daemon/tests/ring_test.cpp
@@ -42,6 +42,24 @@
     CHECK(wakes == 2);
 }
 
+TEST_CASE("A value whose handling throws is taken once, and the values behind it aren't lost")
+{
+    int wakes = 0;
+    Ring<std::string> ring(4, [&wakes] { ++wakes; });
+    for (const char *value : {"a", "throws", "c"})
+        REQUIRE(ring.push(value));
+    std::vector<std::string> taken;
+    const auto take = [&taken](std::string value) {
+        taken.push_back(value);
+        if (value == "throws")
+            throw std::runtime_error("unexpected");
+    };
+    CHECK_THROWS_AS(ring.drain(take), std::runtime_error);
+    CHECK(wakes == 2);
+    ring.drain(take);
+    CHECK(taken == std::vector<std::string>{"a", "throws", "c"});
+}
+
 TEST_CASE("Everything that one thread pushes reaches the other in order")
 {
     constexpr int count = 200'000;
