--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,6 +1,7 @@
 #include <sardinehinge/http/server.h>
 
 #include "addresses.h"
+#include "requestreading.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -248,7 +249,7 @@
             return;
         if (error)
             return readFailed(error);
-        if (const std::string fault = framingError(); !fault.empty())
+        if (const std::string fault = internal::framingError(m_parser->get()); !fault.empty())
             return reject(400, fault);
         // The parser would allocate the declared length at once.
         if (m_parser->content_length().value_or(0) > m_state->limits.bodyBytes)
@@ -264,7 +265,7 @@
             return close();
         if (error == beast::http::error::partial_message || error == asio::error::connection_reset)
             return close(CloseReason::ReadFailed);
-        reject(statusFor(error), error.message());
+        reject(internal::statusFor(error), error.message());
     }
 
     void requestRead(ErrorCode error)
@@ -285,7 +286,8 @@
         auto responder = std::make_shared<ConnectionResponder>(weak_from_this(), m_exchangeId);
         watchForDisconnect(m_exchangeId);
         try {
-            m_state->handler.handle(m_exchangeId, takeRequest(), std::move(responder));
+            m_state->handler.handle(m_exchangeId, internal::toRequest(m_parser->release(), m_peer),
+                                    std::move(responder));
         } catch (...) {
             // Nothing else would answer the request or forget it.
             if (m_phase == Phase::Handling)
@@ -295,32 +297,6 @@
         }
     }
 
-    /// Rejects framing that Beast's parser accepts but that leaves the end of the request ambiguous. Returns the error
-    /// text, or an empty string.
-    std::string framingError() const
-    {
-        const auto &message = m_parser->get();
-        const bool hasCoding = message.find(beast::http::field::transfer_encoding) != message.end();
-        if (hasCoding && !beast::iequals(message[beast::http::field::transfer_encoding], "chunked"))
-            return "the only supported transfer coding is chunked";
-        if (hasCoding && message.find(beast::http::field::content_length) != message.end())
-            return "Content-Length and Transfer-Encoding must not be combined";
-        if (message.version() != 11 && message.version() != 10)
-            return "the only supported versions are HTTP/1.0 and HTTP/1.1";
-        if (hasCoding && message.version() == 10)
-            return "HTTP/1.0 does not support Transfer-Encoding";
-        return {};
-    }
-
-    static int statusFor(ErrorCode error)
-    {
-        if (error == beast::http::error::header_limit)
-            return 431;
-        if (error == beast::http::error::body_limit)
-            return 413;
-        return 400;
-    }
-
     void reject(int status, const std::string &detail)
     {
         m_phase = Phase::Handling;
@@ -328,19 +304,6 @@
         write(m_state->handler.rejection(status, detail, m_peer), false);
     }
 
-    Request takeRequest()
-    {
-        auto message = m_parser->release();
-        Request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto &field : message)
-            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        request.body = std::move(message.body());
-        request.peer = m_peer;
-        return request;
-    }
-
     /// Detects a caller that disconnects while its request is being handled. Detection stops when bytes of the next
     /// request arrive; they stay in the socket until the response is written.
     void watchForDisconnect(std::uint64_t exchange)
