--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -20,8 +20,7 @@
     std::size_t connections = 4000; ///< Further connections are closed on accept.
     /// For a whole request, from its first byte.
     core::Duration readTimeout = core::Duration(std::chrono::seconds(10));
-    /// Between two requests of a connection, as callers see it: the server waits half a second longer.
-    core::Duration idleTimeout = core::Duration(std::chrono::seconds(60));
+    core::Duration idleTimeout = core::Duration(std::chrono::seconds(60)); ///< Between two requests of a connection.
     core::Duration writeTimeout = core::Duration(std::chrono::seconds(10)); ///< For a whole response.
 
     bool operator==(const ServerLimits &) const = default;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -29,9 +29,6 @@
 /// A process that runs late finds the read timeout expired and input waiting: the time in which it reads that.
 constexpr std::chrono::milliseconds lateInputGrace(100);
 
-/// A request that is sent within the idle timeout may arrive this much after it, and must not cross the close.
-constexpr std::chrono::milliseconds lateArrivalMargin(500);
-
 } // namespace
 
 struct Server::State : std::enable_shared_from_this<Server::State>
@@ -197,7 +194,7 @@
     core::Duration idleTimeout() const
     {
         return isNewInDrain() ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
-                              : m_state->limits.idleTimeout + lateArrivalMargin;
+                              : m_state->limits.idleTimeout;
     }
 
     /// Closes the connection when it has been idle for the timeout that applies then. A process that runs late finds
