--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,6 +1,7 @@
 #include <sardinehinge/http/server.h>
 
 #include "addresses.h"
+#include "requestreading.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,8 @@
 
 /// A drained server waits this long for the first request of a connection that it has just accepted.
 constexpr std::chrono::milliseconds newConnectionGrace(500);
+/// A process that runs late finds the read timeout expired and input waiting: the time in which it reads that.
+constexpr std::chrono::milliseconds lateInputGrace(100);
 
 } // namespace
 
@@ -39,6 +42,7 @@
     }
 
     void accept();
+    void take(tcp::socket socket);
     void acceptPending();
     void forEachConnection(const std::function<void(Connection &)> &action);
 
@@ -68,8 +72,7 @@
     Connection(StatePointer state, tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
-        , m_idleTimer(m_state->context)
-        , m_buffer(m_state->limits.headerBytes + 8 * 1024)
+        , m_timer(m_state->context)
     {
         ErrorCode ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -91,12 +94,12 @@
     void awaitRequest()
     {
         m_phase = Phase::Idle;
+        m_idleSince = std::chrono::steady_clock::now();
         if (m_buffer.size() != 0)
             return readRequest();
-        if (m_state->isDraining && m_hasServed && !hasInput())
-            return close();
-        limitIdleTime(m_state->isDraining ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
-                                          : m_state->limits.idleTimeout);
+        if (m_state->isDraining && m_requests != 0 && !hasInput())
+            return close(CloseReason::Drain);
+        limitIdleTime();
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
             if (self->m_phase != Phase::Idle)
                 return;
@@ -111,16 +114,26 @@
     {
         if (m_phase != Phase::Idle)
             return;
-        if (!m_hasServed)
-            limitIdleTime(std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout));
-        else if (!hasInput())
-            close();
+        if (m_requests == 0) {
+            m_idleSince = std::chrono::steady_clock::now();
+            limitIdleTime();
+        } else if (!hasInput()) {
+            close(CloseReason::Drain);
+        }
+    }
+
+    void close(CloseReason reason)
+    {
+        if (m_phase != Phase::Closed)
+            m_state->handler.connectionClosed(
+                {reason, m_peer, std::chrono::steady_clock::now() - m_idleSince, m_requests, hasInput()});
+        close();
     }
 
     void close()
     {
         m_phase = Phase::Closed;
-        m_idleTimer.cancel();
+        m_timer.cancel();
         ErrorCode ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
@@ -155,6 +168,11 @@
     }
 
 private:
+    /// Beyond the header: the start of a body or of the next request.
+    static constexpr std::size_t readAheadBytes = 8 * 1024UL;
+    static constexpr int statusTimeout = 408;
+    static constexpr int statusInternalError = 500;
+
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
     enum class Input { None, Bytes, Closed };
 
@@ -171,25 +189,52 @@
     }
     bool hasInput() { return m_buffer.size() != 0 || input() == Input::Bytes; }
 
-    /// Closes the connection when it has been idle for `timeout`. A process that runs late finds the timer expired
-    /// although a request has arrived in time, so that is checked first.
-    void limitIdleTime(core::Duration timeout)
+    bool isNewInDrain() const { return m_state->isDraining && m_requests == 0; }
+
+    core::Duration idleTimeout() const
+    {
+        return isNewInDrain() ? std::min<core::Duration>(newConnectionGrace, m_state->limits.idleTimeout)
+                              : m_state->limits.idleTimeout;
+    }
+
+    /// Closes the connection when it has been idle for the timeout that applies then. A process that runs late finds
+    /// the timer expired although a request has arrived in time, so that is checked first.
+    void limitIdleTime()
     {
-        m_idleTimer.expires_after(timeout);
-        m_idleTimer.async_wait([self = shared_from_this()](ErrorCode error) {
-            if (!error && self->m_phase == Phase::Idle && !self->hasInput())
-                self->close();
+        m_timer.expires_at(m_idleSince + idleTimeout());
+        m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (error || self->m_phase != Phase::Idle || self->hasInput())
+                return;
+            if (std::chrono::steady_clock::now() < self->m_idleSince + self->idleTimeout())
+                return self->limitIdleTime();
+            self->close(CloseReason::IdleTimeout);
+        });
+    }
+
+    /// Rejects a request that isn't complete in time. As above, what has arrived by then is read first, in a grace
+    /// period.
+    void limitReadTime(core::Duration timeout, bool isGrace = false)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), request = m_requests, isGrace](ErrorCode error) {
+            if (error || self->m_phase != Phase::Reading || request != self->m_requests)
+                return;
+            if (!isGrace || self->input() == Input::Bytes)
+                return self->limitReadTime(lateInputGrace, true);
+            self->m_stream.cancel();
+            self->reject(statusTimeout, "the request was not complete in time");
         });
     }
 
     void readRequest()
     {
         m_phase = Phase::Reading;
-        m_idleTimer.cancel();
         m_parser.emplace();
         m_parser->header_limit(m_state->limits.headerBytes);
         m_parser->body_limit(m_state->limits.bodyBytes);
-        m_stream.expires_after(m_state->limits.readTimeout);
+        m_buffer.max_size(std::max<std::size_t>(m_state->limits.headerBytes + readAheadBytes, m_buffer.size()));
+        m_stream.expires_never();
+        limitReadTime(m_state->limits.readTimeout);
         beast::http::async_read_header(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](ErrorCode error, std::size_t) { self->headerRead(error); });
@@ -197,9 +242,11 @@
 
     void headerRead(ErrorCode error)
     {
+        if (m_phase != Phase::Reading)
+            return;
         if (error)
             return readFailed(error);
-        if (const std::string fault = framingError(); !fault.empty())
+        if (const std::string fault = internal::framingError(m_parser->get()); !fault.empty())
             return reject(400, fault);
         // The parser would allocate the declared length at once.
         if (m_parser->content_length().value_or(0) > m_state->limits.bodyBytes)
@@ -211,76 +258,49 @@
 
     void readFailed(ErrorCode error)
     {
-        if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted
-            || error == beast::http::error::partial_message || error == asio::error::connection_reset)
+        if (error == beast::http::error::end_of_stream || error == asio::error::operation_aborted)
             return close();
-        reject(statusFor(error), error.message());
+        if (error == beast::http::error::partial_message || error == asio::error::connection_reset)
+            return close(CloseReason::ReadFailed);
+        reject(internal::statusFor(error), error.message());
     }
 
     void requestRead(ErrorCode error)
     {
+        if (m_phase != Phase::Reading)
+            return;
         if (error)
             return readFailed(error);
         // The caller may have left while the request waited to be read.
         if (input() == Input::Closed)
-            return close();
-        m_hasServed = true;
+            return close(CloseReason::CallerLeft);
+        m_timer.cancel();
+        ++m_requests;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
         m_keepAlive = m_parser->get().keep_alive();
         m_stream.expires_never();
         auto responder = std::make_shared<ConnectionResponder>(weak_from_this(), m_exchangeId);
         watchForDisconnect(m_exchangeId);
-        m_state->handler.handle(m_exchangeId, takeRequest(), std::move(responder));
-    }
-
-    /// Rejects framing that Beast's parser accepts but that leaves the end of the request ambiguous. Returns the error
-    /// text, or an empty string.
-    std::string framingError() const
-    {
-        const auto &message = m_parser->get();
-        const bool hasCoding = message.find(beast::http::field::transfer_encoding) != message.end();
-        if (hasCoding && !beast::iequals(message[beast::http::field::transfer_encoding], "chunked"))
-            return "the only supported transfer coding is chunked";
-        if (hasCoding && message.find(beast::http::field::content_length) != message.end())
-            return "Content-Length and Transfer-Encoding must not be combined";
-        if (message.version() != 11 && message.version() != 10)
-            return "the only supported versions are HTTP/1.0 and HTTP/1.1";
-        if (hasCoding && message.version() == 10)
-            return "HTTP/1.0 does not support Transfer-Encoding";
-        return {};
-    }
-
-    static int statusFor(ErrorCode error)
-    {
-        if (error == beast::http::error::header_limit)
-            return 431;
-        if (error == beast::http::error::body_limit)
-            return 413;
-        if (error == beast::error::timeout)
-            return 408;
-        return 400;
+        try {
+            m_state->handler.handle(m_exchangeId, internal::toRequest(m_parser->release(), m_peer),
+                                    std::move(responder));
+        } catch (...) {
+            // Nothing else would answer the request or forget it.
+            if (m_phase == Phase::Handling)
+                reject(statusInternalError, "the request could not be handled");
+            m_state->handler.callerDisconnected(m_exchangeId);
+            throw;
+        }
     }
 
     void reject(int status, const std::string &detail)
     {
         m_phase = Phase::Handling;
+        m_timer.cancel();
         write(m_state->handler.rejection(status, detail, m_peer), false);
     }
 
-    Request takeRequest()
-    {
-        auto message = m_parser->release();
-        Request request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto &field : message)
-            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        request.body = std::move(message.body());
-        request.peer = m_peer;
-        return request;
-    }
-
     /// Detects a caller that disconnects while its request is being handled. Detection stops when bytes of the next
     /// request arrive; they stay in the socket until the response is written.
     void watchForDisconnect(std::uint64_t exchange)
@@ -308,7 +328,9 @@
         m_stream.expires_after(m_state->limits.writeTimeout);
         beast::http::async_write(m_stream, *message,
                                  [self = shared_from_this(), message, keepAlive](ErrorCode error, std::size_t) {
-                                     if (error || !keepAlive)
+                                     if (error)
+                                         return self->close(CloseReason::WriteFailed);
+                                     if (!keepAlive)
                                          return self->close();
                                      self->awaitRequest();
                                  });
@@ -349,14 +371,15 @@
 
     StatePointer m_state;
     beast::tcp_stream m_stream;
-    asio::steady_timer m_idleTimer;
+    asio::steady_timer m_timer; ///< While idle or reading.
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::string m_peer;
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
-    bool m_hasServed = false; ///< A request has been read on this connection.
+    std::uint64_t m_requests = 0; ///< Read on this connection.
+    std::chrono::steady_clock::time_point m_idleSince; ///< Start of the wait for the next request.
 };
 
 } // namespace
@@ -364,14 +387,25 @@
 void Server::State::accept()
 {
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
-        if (self->isDraining || self->isStopped || error == asio::error::operation_aborted)
+        if (self->isStopped)
             return;
-        if (!error && self->open.size() < self->limits.connections)
-            std::make_shared<Connection>(self, std::move(socket))->awaitRequest();
-        self->accept();
+        if (!error)
+            self->take(std::move(socket)); // A drain may have begun since the connection was accepted.
+        if (!self->isDraining && error != asio::error::operation_aborted)
+            self->accept();
     });
 }
 
+/// Waits for the requests of a new connection, or closes it if there are too many.
+void Server::State::take(tcp::socket socket)
+{
+    const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    if (open.size() <= limits.connections)
+        connection->awaitRequest();
+    else
+        connection->close(CloseReason::ConnectionLimit);
+}
+
 /// Accepts the connections that callers have opened already: closing the listening socket would reset them.
 void Server::State::acceptPending()
 {
@@ -381,7 +415,7 @@
         tcp::socket socket(context);
         acceptor.accept(socket, error);
         if (!error)
-            std::make_shared<Connection>(shared_from_this(), std::move(socket))->awaitRequest();
+            take(std::move(socket));
     }
 }
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <mutex>
 #include <thread>
 
 using namespace sardinehinge;
@@ -16,7 +17,7 @@
 
 constexpr auto responseTimeout = std::chrono::seconds(5);
 
-/// Responds with the target and the body; to `/slow` after 100 ms, to `/never` not at all.
+/// Responds with the target and the body; to `/slow` after 100 ms, to `/never` not at all; `/throw` throws.
 class EchoHandler : public http::RequestHandler
 {
 public:
@@ -32,6 +33,8 @@
             kept.push_back(responder);
             return;
         }
+        if (request.target == "/throw")
+            throw std::runtime_error("unexpected");
         if (request.target != "/slow")
             return responder->send({200, {}, request.target + " " + request.body});
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(100));
@@ -42,6 +45,18 @@
 
     void callerDisconnected(std::uint64_t) override { ++disconnected; }
 
+    void connectionClosed(const http::ConnectionEnd &end) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed.push_back(end);
+    }
+
+    std::vector<http::ConnectionEnd> closed() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
     http::Response rejection(int status, const std::string &detail, const std::string &) override
     {
         return {status, {}, detail};
@@ -53,6 +68,8 @@
 
 private:
     boost::asio::io_context &m_context;
+    mutable std::mutex m_mutex;
+    std::vector<http::ConnectionEnd> m_closed;
 };
 
 http::ServerLimits smallLimits()
@@ -76,7 +93,13 @@
         REQUIRE(core::errorIn(server.listen("127.0.0.1:0")) == nullptr);
         m_thread = std::thread([this] {
             const auto guard = boost::asio::make_work_guard(context);
-            context.run();
+            while (!context.stopped()) {
+                try {
+                    context.run();
+                } catch (const std::runtime_error &) {
+                    ++exceptions;
+                }
+            }
         });
     }
 
@@ -100,6 +123,7 @@
     boost::asio::io_context context{1};
     EchoHandler handler;
     http::Server server;
+    std::atomic<int> exceptions = 0; ///< That left a task.
 
 private:
     std::thread m_thread;
@@ -332,3 +356,135 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(250));
     CHECK(running.handler.handled == 0);
 }
+
+TEST_CASE("A connection that the server closes is reported with the reason and whether input was left")
+{
+    struct Case
+    {
+        http::CloseReason reason;
+        std::string sent; ///< After a first request.
+        std::uint64_t requests;
+    };
+    const auto [reason, sent, requests] = GENERATE(values<Case>({
+        {http::CloseReason::IdleTimeout, "", 1},
+        {http::CloseReason::Drain, "", 1},
+        {http::CloseReason::ReadFailed, "GET /cut HT", 1},
+        {http::CloseReason::CallerLeft, "GET /left HTTP/1.1\r\nHost: x\r\n\r\n", 1},
+        {http::CloseReason::ConnectionLimit, "", 0},
+    }));
+    INFO(static_cast<int>(reason));
+    http::ServerLimits limits = smallLimits();
+    limits.idleTimeout = std::chrono::milliseconds(reason == http::CloseReason::IdleTimeout ? 200 : 10000);
+    limits.connections = reason == http::CloseReason::ConnectionLimit ? 0 : limits.connections;
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.receive("/first");
+    if (!sent.empty()) {
+        running.stall(std::chrono::milliseconds(100));
+        caller.send(sent);
+        caller.close();
+    }
+    if (reason == http::CloseReason::Drain)
+        boost::asio::post(running.context, [&] { running.server.drain(); });
+    REQUIRE(waitFor([&] { return running.handler.closed().size() == 1; }));
+    const http::ConnectionEnd end = running.handler.closed().front();
+    CHECK(end.reason == reason);
+    CHECK(end.requests == requests);
+    if (reason == http::CloseReason::IdleTimeout) {
+        CHECK(end.idleTime >= std::chrono::milliseconds(200));
+        CHECK_FALSE(end.hasInput);
+    }
+}
+
+TEST_CASE("A drain answers a connection that was accepted when it began but not yet served")
+{
+    boost::asio::io_context context(1);
+    EchoHandler handler(context);
+    http::Server server(context, handler, smallLimits());
+    REQUIRE(core::errorIn(server.listen("127.0.0.1:0")) == nullptr);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int count = 0; count < 3; ++count) {
+        callers.push_back(std::make_unique<RawCaller>(server.port()));
+        callers.back()->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    // The reactor reports the listening socket first, then the drain is queued.
+    boost::asio::post(context, [] {});
+    context.poll_one();
+    boost::asio::post(context, [&server] { server.drain(); });
+    context.run_for(std::chrono::seconds(1));
+    for (const auto &caller : callers)
+        CHECK(caller->receive().find("/last") != std::string::npos);
+}
+
+TEST_CASE("A request whose rest arrived in time is answered although the server ran after the read timeout")
+{
+    const auto [first, rest] = GENERATE(values<std::pair<std::string, std::string>>({
+        {"GET /whole HTTP/1.1\r\nHost", ": x\r\n\r\n"},
+        {"POST /whole HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab", "cd"},
+        {"POST /whole HTTP/1.1\r\nHost", ": x\r\nContent-Length: 4\r\n\r\nabcd"},
+    }));
+    INFO(first);
+    http::ServerLimits limits = smallLimits();
+    limits.readTimeout = std::chrono::milliseconds(800);
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send(first);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    running.stall(std::chrono::milliseconds(1200));
+    caller.send(rest);
+    CHECK(caller.receive("/whole").find("/whole") != std::string::npos);
+}
+
+TEST_CASE("A request that isn't complete at the read timeout is rejected with 408")
+{
+    const auto incomplete
+        = GENERATE(as<std::string>(), "GET / HT", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    RunningServer running;
+    RawCaller caller(running.server.port());
+    caller.send(incomplete);
+    CHECK(caller.receive().substr(0, 12) == "HTTP/1.1 408");
+    CHECK(running.handler.handled == 0);
+}
+
+TEST_CASE("Raised limits apply to the connections that are open")
+{
+    http::ServerLimits limits = smallLimits();
+    limits.idleTimeout = std::chrono::milliseconds(600);
+    RunningServer running(limits);
+    RawCaller caller(running.server.port());
+    caller.send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.receive("/first").find("/first") != std::string::npos);
+    limits.idleTimeout = std::chrono::milliseconds(2500);
+    limits.headerBytes = 32 * 1024;
+    boost::asio::post(running.context, [&] { running.server.setLimits(limits); });
+    SECTION("a request within the raised idle timeout")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(800));
+        caller.send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(caller.receive("/second").find("/second") != std::string::npos);
+    }
+    SECTION("a header within the raised limit")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        caller.send("GET /second HTTP/1.1\r\nHost: x\r\nX: " + std::string(20000, 'x') + "\r\n\r\n");
+        CHECK(caller.receive("/second").find("200 OK") != std::string::npos);
+    }
+    SECTION("no request: closed after the raised idle timeout")
+    {
+        const auto start = std::chrono::steady_clock::now();
+        CHECK(caller.receive().empty());
+        CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(1500));
+    }
+}
+
+TEST_CASE("A request whose handler throws is answered with 500, and the exception is reported")
+{
+    RunningServer running;
+    RawCaller caller(running.server.port());
+    caller.send("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(caller.receive().substr(0, 12) == "HTTP/1.1 500");
+    CHECK(running.exceptions == 1);
+    CHECK(running.handler.disconnected == 1);
+    CHECK(waitFor([&] { return running.server.connections() == 0; }));
+}
