Read the targets' records only after the targets have ended

Cause: the history checker of the process tests read the files of running targets one after another. A drop that was written after its file had been read, and before the file with the next grant was, looked like two owners (KNOWN-RED.txt, process_freeze_and_return).

Change: check_history stops the daemons, so that nobody gives the keys of an ended target away, ends the targets by SIGTERM and waits for them, then reads.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -95,6 +95,7 @@
     >>"$run/$1.jsonl"
   kill -KILL "${pids[$1]}"
   wait "${pids[$1]}" 2>/dev/null || true
+  unset "pids[$1]"
 }
 
 # start_fleet DAEMONS: platform and daemons, ready to serve.
@@ -141,4 +142,23 @@
     curl -s "http://$platform/versions/assignments/$service" >"$run/history/versions-${service//\//-}.json"
   done
 }
-check_history() { "$historycheck" "$run"/*.jsonl "$run"/history/*.json; }
+
+# end_targets: ends all targets, so that their records are complete. Daemons are stopped first: nobody gives the keys of
+# a target that has ended to one that still runs.
+end_targets() {
+  local id
+  for id in "${!pids[@]}"; do [[ $id != daemon-* ]] || kill -STOP "${pids[$id]}" 2>/dev/null || true; done
+  for id in "${!pids[@]}"; do
+    [ -e "$run/$id.jsonl" ] || continue
+    kill -TERM "${pids[$id]}" 2>/dev/null || continue
+    await 10 has_ended "${pids[$id]}" || return 1
+    unset "pids[$id]"
+  done
+}
+has_ended() { ! kill -0 "$1" 2>/dev/null; }
+
+# check_history: ends the targets and checks what they recorded. Daemons stay stopped.
+check_history() {
+  end_targets || return 1
+  "$historycheck" "$run"/*.jsonl "$run"/history/*.json
+}
