Give the simulation of ranges the same random faults on every machine

Cause: two calls drew random numbers in their arguments, whose order of evaluation is the compiler's choice.

Change: one draw a statement, in the order of the arguments. On machines with the other order the mixes with rebirths or cut links get other faults from the same seeds; no check is changed.

--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -478,10 +478,15 @@
     auto victim = m_targets.begin();
     std::advance(victim, static_cast<std::ptrdiff_t>(randomIndex(m_targets.size())));
     const std::string id = victim->first;
-    if (m_faults.links && chance(0.5))
-        cutLink(chance(0.5) ? controllerIndex() : daemon, id, randomDelay(100, 5000));
-    if (m_faults.rebirths && victim->second.isUp && chance(0.5))
-        rebearTarget(id, chance(0.5), randomDelay(50, 1500));
+    // One draw a statement: the order of draws in the arguments of a call differs between compilers.
+    if (m_faults.links && chance(0.5)) {
+        const std::size_t sender = chance(0.5) ? controllerIndex() : daemon;
+        cutLink(sender, id, randomDelay(100, 5000));
+    }
+    if (m_faults.rebirths && victim->second.isUp && chance(0.5)) {
+        const bool keepsId = chance(0.5);
+        rebearTarget(id, keepsId, randomDelay(50, 1500));
+    }
     if (!m_faults.targets || victim->second.isReplaced)
         return;
     const auto ready = std::count_if(m_targets.begin(), m_targets.end(), [](const auto &entry) {
