Let a newly named witness wait for its controller's heartbeat

Cause: a daemon that a new record names as a witness measured the controller's silence from its own start, or from when it was a witness last. If the record reached it before the first heartbeat, it became a candidate at once, the new controller stepped down, and the takeover began anew after another 180 ms and more. Ruled out: the waits themselves, whose sum is 0.88 s.

Change: the silence counts from the record that made this daemon a witness, if that is later. Daemons that were witnesses before count as they did, so the delay of a candidacy after a loss is the same. Only the time of a candidacy changes, none of the conditions for promises, orders or grants.

--- a/packages/core/include/sardinehinge/core/controlgroup.h
+++ b/packages/core/include/sardinehinge/core/controlgroup.h
@@ -267,6 +267,7 @@
     std::vector<DaemonIdentity> pickWitnesses() const;
     std::optional<Duration> candidacyDelay() const;
     std::set<DaemonIdentity> electorate() const;
+    bool isWitness(const ControlRecord &record) const; ///< Whether the record names this daemon as a witness.
     bool allWitnessesGone() const;
     void adoptRecord(const ControlRecord &record, std::uint64_t revision);
     void onOwnRecordStored();
@@ -340,6 +341,7 @@
     Time m_roleSince = 0ms;
     Time m_lastAuthority = 0ms; ///< Latest tick of this term at which this daemon had authority.
     Time m_lastCandidacyEnd = 0ms;
+    Time m_witnessSince = 0ms; ///< When this daemon learned of the record that made it a witness.
     Time m_lastWitnessReview = 0ms;
     std::set<std::string> m_silentWitnesses;
     ControlRecord m_writingRecord;
--- a/packages/core/src/controlgroup.cpp
+++ b/packages/core/src/controlgroup.cpp
@@ -65,9 +65,7 @@
 
 bool ControlGroup::needsFastTicks() const noexcept
 {
-    const auto &witnesses = m_record.witnesses;
-    return m_role != ControlRole::Follower || witnesses.empty()
-        || std::find(witnesses.begin(), witnesses.end(), m_self) != witnesses.end();
+    return m_role != ControlRole::Follower || m_record.witnesses.empty() || isWitness(m_record);
 }
 
 std::size_t ControlGroup::unheldShards() const noexcept
--- a/packages/core/src/controlgroup_takeover.cpp
+++ b/packages/core/src/controlgroup_takeover.cpp
@@ -72,6 +72,11 @@
     return voters;
 }
 
+bool ControlGroup::isWitness(const ControlRecord &record) const
+{
+    return std::find(record.witnesses.begin(), record.witnesses.end(), m_self) != record.witnesses.end();
+}
+
 bool ControlGroup::allWitnessesGone() const
 {
     return std::all_of(m_record.witnesses.begin(), m_record.witnesses.end(),
@@ -136,6 +141,9 @@
     if (revision < m_recordRevision || (revision == m_recordRevision && revision != 0))
         return;
     m_recordRevision = revision;
+    // A witness that the record names anew hasn't heard its controller yet, which is no silence.
+    if (isWitness(record) && !isWitness(m_record))
+        m_witnessSince = m_now;
     m_record = record;
     const bool isActing = m_role == ControlRole::Steward || m_role == ControlRole::Controller;
     if (record.holder == m_self && record.term == m_term && isActing)
@@ -157,7 +165,8 @@
     const auto delay = candidacyDelay();
     if (!delay)
         return;
-    const Time silentSince = std::max(m_witness.lastHeard().value_or(m_startedAt), m_lastCandidacyEnd);
+    const Time silentSince
+        = std::max({m_witness.lastHeard().value_or(m_startedAt), m_lastCandidacyEnd, m_witnessSince});
     if (m_now - silentSince < *delay)
         return;
     // A candidate needs to know the current record, or that none exists.
--- a/packages/core/tests/controlgroup_test.cpp
+++ b/packages/core/tests/controlgroup_test.cpp
@@ -96,6 +96,49 @@
     CHECK(report(violationsIn(world.history())) == "");
 }
 
+TEST_CASE("Shards have an owner again within the time limit whenever their owner and the controller are killed")
+{
+    const auto seed = GENERATE(range<std::uint64_t>(1, 61));
+    INFO("seed " << seed);
+    ControlWorld world = startedWorld({11, 5, 16, true, 0.004, seed});
+    world.runFor(std::chrono::milliseconds(seed));
+    const Time failedAt = world.now();
+    world.inject({Fault::Kind::KillTarget, *world.holder(0), 0, 0ms, 30s});
+    world.inject({Fault::Kind::KillDaemon, *world.controller(), 0, 0ms, 30s});
+    world.runFor(5s);
+    CHECK(world.longestOwnershipGap(failedAt, world.now()) <= recoveryLimit);
+    CHECK(report(violationsIn(world.history())) == "");
+}
+
+TEST_CASE("A daemon that becomes a witness waits for the controller's heartbeat before it becomes a candidate")
+{
+    const DaemonIdentity self{"daemon-0", 1};
+    const DaemonIdentity former{"daemon-1", 1};
+    const DaemonIdentity next{"daemon-2", 1};
+    ServiceSpec spec;
+    spec.name = "report-status";
+    InstanceView view{1, {}};
+    for (const DaemonIdentity &daemon : {self, former, next})
+        view.instances.push_back({daemon.id, InstanceKind::Daemon, daemon.id, daemon.id, {}, false});
+    const LeaseTiming timing;
+    ControlGroup group({"kanalstivej", "report-status"}, self, timing);
+    Time now = 1s;
+    const auto runUntil = [&](Time end) {
+        for (; now < end; now += 5ms)
+            group.handle(Tick{}, now);
+    };
+    group.handle(ServiceChanged{spec, {}, false, 3s}, now);
+    group.handle(InstancesChanged{view}, now);
+    group.handle(RecordReceived{{1, former, {former, next}, {}, 1}, 1}, now);
+    runUntil(5s);
+    group.handle(RecordReceived{{2, next, {next, self, former}, {former, next}, 1}, 2}, now);
+    const Time named = now;
+    runUntil(named + timing.suspicionTimeout - 5ms);
+    CHECK(group.role() == ControlRole::Follower);
+    runUntil(named + timing.suspicionTimeout + 3 * timing.candidacyStagger);
+    CHECK(group.role() == ControlRole::Candidate);
+}
+
 TEST_CASE("Draining a target moves its shards with gaps of at most 50 ms")
 {
     const auto seed = GENERATE(range<std::uint64_t>(1, 11));
