--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -61,6 +61,8 @@
     /// Whether a new connection may be opened. Otherwise the exchange ends as NoOpenConnection if no idle one is
     /// usable.
     bool opensConnections = true;
+    /// Whether later exchanges may use the connection of this one.
+    bool keepsConnection = true;
     /// Within this time, and within `timeout`, the request arrives at the peer's host or is withdrawn: bytes that the
     /// network has held up are not sent again afterwards, even if this process is stopped or killed meanwhile.
     std::optional<core::Duration> arrivalTimeout;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -301,7 +301,7 @@
         if (!hasLength && !m_options.acceptsCloseDelimited)
             return finish(ExchangeOutcome::TruncatedResponse, "the response has neither a length nor chunked coding");
         auto message = m_parser->release();
-        const bool keepAlive = hasLength && message.keep_alive() && m_buffer.size() == 0;
+        const bool keepAlive = m_options.keepsConnection && hasLength && message.keep_alive() && m_buffer.size() == 0;
         ExchangeResult result{
             ExchangeOutcome::Complete, {static_cast<int>(message.result_int()), {}, std::move(message.body())}, {}};
         for (const auto &field : message)
