Keep control through a restore after voters were lost, and leave it where no majority follows

Voters that have been silent for 5 s are replaced by daemons that aren't. - A controller without a majority in the new era now steps down after its authority, 1.5 s, so that others claim at once. - The voters of a restored record count as a pending change until the write is confirmed: a lost answer left a controller going by the former list (9.5 s in the run). - Without a record, the longest lease is assumed for unknown controllers (2 s for one of 170 targets that the copy lacked).

The simulation keeps lost daemons in the lists of peers, as daemons do. Both new cases of rangerestore_test fail with the change they guard left out (20 and 10 checks); that a claim answered in another era confers nothing has a case of its own.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -35,6 +35,8 @@
     Duration maxAuthorityWithoutStore = std::chrono::seconds(20);
     std::size_t voterCount = 7; ///< Three may fail during a store outage.
     Duration minVoterChangeInterval = std::chrono::seconds(2);
+    Duration silentVoterTimeout
+        = std::chrono::seconds(5); ///< A voter without an acknowledgement for this long is replaced.
     std::size_t maxAcknowledgers = 12; ///< Daemons that acknowledge heartbeats: voters and candidates for voters.
     Duration storeConfirmationInterval = std::chrono::milliseconds(1000);
     /// Between two confirmations for the sake of connections that were opened meanwhile.
@@ -292,9 +294,10 @@
 ///   grant under a higher fence, never a repetition of the owner's.
 /// - A range is taken from a target only after the target confirmed a release, after the longest lease that any
 ///   controller may have given it has expired, or when the registry lists a later incarnation of the target.
-/// - A grant goes out on a connection that was open when the controller was last confirmed. It can't reach a process
+/// - A grant goes out on a connection that was open when the controller was last confirmed. So it reaches no process
 /// that
-///   has started at the target's address since, unaware of the fences that a later controller sent to the former one.
+///   has started at the target's address since and doesn't know the fences that a later controller sent to the former
+///   one. While the store is away the voters confirm a controller, which leaves a gap: see docs/PLATFORM.md.
 /// - A controller that was paused for long enough to be replaced reads the store before it sends any order.
 /// - A controller gives grants only for a short time after the store, or a majority of the recorded voters, confirmed
 ///   it. Voters that know a later term don't confirm it, so a later controller learns from a majority of them when it
@@ -407,7 +410,7 @@
     void compareWithStore(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
     void writeRestoredRecordIfDue();
     bool isEraKnownToAll() const;
-    PastController unknownController(Duration knownLease) const;
+    PastController unknownController(std::optional<Duration> knownLease) const;
 
     // Election. In rangecontrol.cpp.
     void startClaimIfDue();
@@ -434,6 +437,7 @@
     Time inheritedLeaseBound() const noexcept;
     std::vector<DaemonIdentity> chooseVoters() const;
     bool shouldReplaceVoters() const;
+    bool hasAcknowledgedSince(const DaemonIdentity &daemon, Time since) const;
     void updatePredecessors();
     std::set<std::string> acknowledgers() const;
     /// Whether the store has confirmed this controller since confirmation was last required.
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -12,6 +12,8 @@
 
 /// More than a controller uses while it processes one event.
 constexpr std::uint64_t reservedFences = 5000;
+/// A daemon whose last acknowledgement is older counts as silent when voters are chosen.
+constexpr Duration maxAckAge = std::chrono::seconds(2);
 
 void mix(std::uint64_t &hash, const std::string &text) noexcept
 {
@@ -204,7 +206,7 @@
     if (isOutdated(record)) {
         for (OwnedRange &owned : m_pendingRecord.ranges)
             owned.owner = {};
-        m_pendingRecord.predecessors.push_back(unknownController(m_pendingRecord.lease));
+        m_pendingRecord.predecessors.push_back(unknownController(record ? std::optional(record->lease) : std::nullopt));
     }
     m_role = Role::Claiming;
     logEvent(events::rangeControlClaimed,
@@ -342,7 +344,6 @@
 std::vector<DaemonIdentity> RangeControl::chooseVoters() const
 {
     // Prefers daemons that acknowledged a recent heartbeat, then those with a lower hash.
-    constexpr Duration maxAckAge = std::chrono::seconds(2);
     std::vector<std::tuple<bool, std::uint64_t, DaemonIdentity>> order;
     for (const PeerDaemon &peer : m_peers) {
         const auto ack = m_latestAcks.find(peer.id);
@@ -358,12 +359,32 @@
     return voters;
 }
 
-/// Whether some voters have ended, or more daemons are available than when the voters were chosen.
+bool RangeControl::hasAcknowledgedSince(const DaemonIdentity &daemon, Time since) const
+{
+    const auto ack = m_latestAcks.find(daemon.id);
+    return ack != m_latestAcks.end() && ack->second.from == daemon && ack->second.sentAt >= since;
+}
+
+/// Whether some voters have ended or gone silent, or more daemons are available than when the voters were chosen.
 bool RangeControl::shouldReplaceVoters() const
 {
-    const auto ended = std::count_if(m_storedRecord.voters.begin(), m_storedRecord.voters.end(),
-                                     [this](const DaemonIdentity &voter) { return hasIncarnationEnded(voter); });
-    return ended != 0 || m_storedRecord.voters.size() < std::min(m_timing.voterCount, m_peers.size() + 1);
+    const std::vector<DaemonIdentity> &voters = m_storedRecord.voters;
+    if (voters.size() < std::min(m_timing.voterCount, m_peers.size() + 1))
+        return true;
+    if (std::any_of(voters.begin(), voters.end(),
+                    [this](const DaemonIdentity &voter) { return hasIncarnationEnded(voter); }))
+        return true;
+    // A machine that is lost for good doesn't say so. Replacing a silent voter takes another daemon that isn't.
+    const Time since = m_now - m_timing.silentVoterTimeout;
+    const bool isAnySilent = since > m_termStartedAt
+        && std::any_of(voters.begin(), voters.end(), [this, since](const DaemonIdentity &voter) {
+                                 return voter != m_self && !hasAcknowledgedSince(voter, since);
+                             });
+    return isAnySilent && std::any_of(m_peers.begin(), m_peers.end(), [&](const PeerDaemon &peer) {
+               const DaemonIdentity candidate{peer.id, peer.incarnation};
+               return std::find(voters.begin(), voters.end(), candidate) == voters.end()
+                   && hasAcknowledgedSince(candidate, m_now - maxAckAge);
+           });
 }
 
 std::set<std::string> RangeControl::acknowledgers() const
--- a/packages/core/src/rangecontrol_eras.cpp
+++ b/packages/core/src/rangecontrol_eras.cpp
@@ -68,11 +68,18 @@
 /// Writes this controller's record again, in a new term, once a majority of its voters follows it in this era.
 void RangeControl::writeRestoredRecordIfDue()
 {
-    if (!m_needsRestore || !m_restoreRevision || m_isWritePending || votersConfirmedAt(m_era) < m_restoreNeededSince)
+    if (!m_needsRestore || !m_restoreRevision || m_isWritePending)
         return;
+    if (votersConfirmedAt(m_era) < m_restoreNeededSince) {
+        // Without a majority this controller can't tell whether it knows all owners. It no longer keeps others waiting.
+        if (m_now - m_restoreNeededSince > m_timing.authorityDuration)
+            stepDown("no majority of the voters follows it in this era");
+        return;
+    }
     const auto voters = m_isVoterChangePending ? m_pendingRecord.voters : chooseVoters();
     m_pendingRecord = claimBasedOn(m_storedRecord);
     m_pendingRecord.voters = voters;
+    m_isVoterChangePending = voters != m_storedRecord.voters;
     // A controller that claimed in the earlier era, unknown to the voters, may still renew what it inherited.
     if (!m_pendingRecord.hasUnknownOwners())
         m_pendingRecord.predecessors.push_back(unknownController(m_storedRecord.lease));
@@ -99,11 +106,13 @@
 }
 
 /// Stands for all controllers that the store may have forgotten. The number of targets, and with it the lease, doesn't
-/// halve within the time that the store loses.
-PastController RangeControl::unknownController(Duration knownLease) const
+/// halve within the time that the store loses; without a record, nothing is known of it.
+PastController RangeControl::unknownController(std::optional<Duration> knownLease) const
 {
     const auto wanted = 2 * m_timing.leasePerTarget * static_cast<Duration::rep>(m_targets.size());
-    return {{}, 0, std::max(knownLease, std::clamp(wanted, m_timing.minLease, m_timing.maxLease)), {}};
+    const auto lease
+        = std::max(knownLease.value_or(m_timing.maxLease), std::clamp(wanted, m_timing.minLease, m_timing.maxLease));
+    return {{}, 0, lease, {}};
 }
 
 } // namespace sardinehinge::core
--- a/packages/core/tests/rangerestore_test.cpp
+++ b/packages/core/tests/rangerestore_test.cpp
@@ -84,6 +84,40 @@
     }
 }
 
+TEST_CASE("Voters that were lost for good are replaced, so that no keys are lost when the store returns older")
+{
+    RangeWorld world(GENERATE(range(1, 11)), {}, 11);
+    world.run(6s, true);
+    const auto voters = world.otherVoters();
+    REQUIRE(voters.size() == 6);
+    for (std::size_t index = 0; index < 4; ++index)
+        world.loseDaemon(voters[index]);
+    world.run(30s, true);
+    world.takeLongestGap();
+    world.restoreStore(9s, 2s);
+    world.run(15s, true);
+    INFO(world.trace());
+    CHECK(world.violations().empty());
+    CHECK(world.takeLongestGap() <= 100ms);
+    CHECK(world.servedShare() == 1.0);
+}
+
+TEST_CASE("A controller without a majority of its voters in the new era leaves the claim to others")
+{
+    RangeWorld world(GENERATE(range(1, 11)), {}, 11);
+    world.run(6s, true);
+    world.restoreStore(3s, 2s);
+    for (const std::size_t voter : world.otherVoters())
+        world.killDaemon(voter); // For 4 s at most.
+    world.takeLongestGap();
+    world.run(25s, true);
+    INFO(world.trace());
+    CHECK(world.violations().empty());
+    // The kill; then a claim, the end of earlier authority, the longest hold, and a write.
+    CHECK(world.takeLongestGap() <= 10s);
+    CHECK(world.servedShare() == 1.0);
+}
+
 TEST_CASE("Each key has at most one owner under random faults while the store returns older again and again")
 {
     struct Mix
--- a/packages/core/tests/rangerole_test.cpp
+++ b/packages/core/tests/rangerole_test.cpp
@@ -90,3 +90,28 @@
     CHECK(revision == 103);
     CHECK(expectedRevision == 102);
 }
+
+TEST_CASE("A claim that the store answers in another era than it was made for confers no control")
+{
+    RangeControl control("service", {"self", 1}, 100s);
+    control.handle(StoreEraSeen{1}, 100s);
+    Time now = 100s;
+    const auto claim = [&](StoreEra readEra, StoreEra answerEra) {
+        for (const Time end = now + 10s; now < end; now += 50ms) {
+            for (const ControlEffect &effect : control.handle(ControlTick{}, now)) {
+                if (!std::holds_alternative<ReadOwnership>(effect))
+                    continue;
+                for (const ControlEffect &next : control.handle(OwnershipRead{std::nullopt, 0, now, readEra}, now)) {
+                    if (std::holds_alternative<WriteOwnership>(next)) {
+                        control.handle(OwnershipWritten{7, now, answerEra}, now);
+                        return;
+                    }
+                }
+            }
+        }
+    };
+    const auto [readEra, answerEra, isController]
+        = GENERATE(table<StoreEra, StoreEra, bool>({{1, 1, true}, {1, 2, false}, {2, 2, true}, {2, 1, false}}));
+    claim(readEra, answerEra);
+    CHECK(control.isController() == isController);
+}
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -95,7 +95,7 @@
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         std::vector<PeerDaemon> peers;
         for (const Daemon &other : m_daemons) {
-            if (other.control != nullptr && other.identity.id != m_daemons[index].identity.id)
+            if (!other.identity.id.empty() && other.identity.id != m_daemons[index].identity.id)
                 peers.push_back({other.identity.id, other.identity.incarnation, "peer"});
         }
         if (m_daemons[index].control != nullptr && !m_daemons[index].isCutFromPeers)
@@ -217,6 +217,12 @@
     m_daemons[index].deadUntil = m_now + randomDelay(500, 4000);
 }
 
+void RangeWorld::loseDaemon(std::size_t index)
+{
+    killDaemon(index);
+    m_daemons[index].deadUntil = Time::max();
+}
+
 void RangeWorld::freezeDaemon(std::size_t index, Duration length)
 {
     addTrace(m_daemons[index].identity.id + " freezes");
@@ -244,6 +250,18 @@
     return best;
 }
 
+std::vector<std::size_t> RangeWorld::otherVoters() const
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        const DaemonIdentity &identity = m_daemons[index].identity;
+        if (index != controllerIndex()
+            && std::find(m_record->voters.begin(), m_record->voters.end(), identity) != m_record->voters.end())
+            indices.push_back(index);
+    }
+    return indices;
+}
+
 std::vector<std::string> RangeWorld::holders() const
 {
     std::vector<std::string> holders;
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -50,6 +50,8 @@
     std::size_t controllers() const;
 
     void killDaemon(std::size_t index);
+    /// Ends the daemon for good.
+    void loseDaemon(std::size_t index);
     void freezeDaemon(std::size_t index, Duration length);
     void cutStore(std::size_t index, bool isCut) { m_daemons[index].isCutFromStore = isCut; }
     void cutPeers(std::size_t index, bool isCut) { m_daemons[index].isCutFromPeers = isCut; }
@@ -68,6 +70,8 @@
     void reportLoad(const std::map<std::uint32_t, std::uint32_t> &requests);
     void addTarget(const std::string &id);
     std::size_t controllerIndex() const;
+    /// The recorded voters other than the controller.
+    std::vector<std::size_t> otherVoters() const;
     std::vector<std::string> holders() const;
     Time now() const noexcept { return m_now; }
     /// The controller's term.
