Step down before a controller's periodic work, not in the midst of it

Cause: a controller without a majority in a new era stepped down while it wrote its restored record. The rest of the step then ran without assignments and wrote a first assignment of all keys, under the record and revision of the earlier era. Such a write counts as failed by its era, so no key was granted; a follower must not write or send heartbeats all the same.

Change: the step-down comes before the periodic work. The new case of rangerole_test fails without it (a write after the step-down).

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -408,6 +408,7 @@
     /// Whether a controller that may know all owners is heard from.
     bool isControllerHeard() const noexcept;
     void compareWithStore(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
+    bool isRestoreOverdue() const;
     void writeRestoredRecordIfDue();
     bool isEraKnownToAll() const;
     PastController unknownController(std::optional<Duration> knownLease) const;
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -57,6 +57,8 @@
     if (m_role == Role::Controller && m_fenceCount + reservedFences > m_timing.fencesPerTerm)
         stepDown("the fences of this term are used up");
     std::visit([this](const auto &concrete) { on(concrete); }, event);
+    if (m_role == Role::Controller && isRestoreOverdue())
+        stepDown("no majority of the voters follows it in this era");
     if (m_role == Role::Controller) {
         updatePredecessors();
         m_isLinkUnconfirmed = false;
--- a/packages/core/src/rangecontrol_eras.cpp
+++ b/packages/core/src/rangecontrol_eras.cpp
@@ -65,17 +65,19 @@
     m_restoreRevision = record ? revision : 0;
 }
 
+/// Without a majority of its voters, a controller can't tell whether it knows all owners. After its authority has ended
+/// it no longer keeps others from claiming.
+bool RangeControl::isRestoreOverdue() const
+{
+    return m_needsRestore && m_restoreRevision && !m_isWritePending && votersConfirmedAt(m_era) < m_restoreNeededSince
+        && m_now - m_restoreNeededSince > m_timing.authorityDuration;
+}
+
 /// Writes this controller's record again, in a new term, once a majority of its voters follows it in this era.
 void RangeControl::writeRestoredRecordIfDue()
 {
-    if (!m_needsRestore || !m_restoreRevision || m_isWritePending)
+    if (!m_needsRestore || !m_restoreRevision || m_isWritePending || votersConfirmedAt(m_era) < m_restoreNeededSince)
         return;
-    if (votersConfirmedAt(m_era) < m_restoreNeededSince) {
-        // Without a majority this controller can't tell whether it knows all owners. It no longer keeps others waiting.
-        if (m_now - m_restoreNeededSince > m_timing.authorityDuration)
-            stepDown("no majority of the voters follows it in this era");
-        return;
-    }
     const auto voters = m_isVoterChangePending ? m_pendingRecord.voters : chooseVoters();
     m_pendingRecord = claimBasedOn(m_storedRecord);
     m_pendingRecord.voters = voters;
--- a/packages/core/tests/rangerole_test.cpp
+++ b/packages/core/tests/rangerole_test.cpp
@@ -115,3 +115,55 @@
     claim(readEra, answerEra);
     CHECK(control.isController() == isController);
 }
+
+TEST_CASE("A controller that steps down in a new era sends no heartbeat and writes nothing any more")
+{
+    RangeControl control("service", {"self", 1}, 100s);
+    RegisteredTarget target;
+    target.identity = {"target", 1};
+    target.service = "service";
+    target.address = "target";
+    target.slots = 6;
+    Time now = 100s;
+    StoreEra era = 1;
+    std::optional<OwnershipRecord> record;
+    std::uint64_t revision = 0;
+    bool hasSteppedDown = false;
+    bool wasActive = false;
+    // Answers every call to the store and every order at once. The peer, a voter, is silent.
+    const auto advance = [&](const ControlEvent &event) {
+        std::vector<ControlEvent> events{event};
+        while (!events.empty()) {
+            const bool wasController = control.isController();
+            const auto effects = control.handle(events.front(), now);
+            events.erase(events.begin());
+            hasSteppedDown = hasSteppedDown || (wasController && !control.isController());
+            for (const ControlEffect &effect : effects) {
+                const auto *write = std::get_if<WriteOwnership>(&effect);
+                wasActive = wasActive
+                    || (hasSteppedDown && (write != nullptr || std::holds_alternative<SendHeartbeat>(effect)));
+                if (write != nullptr) {
+                    record = write->record;
+                    events.emplace_back(OwnershipWritten{++revision, now, era});
+                } else if (std::holds_alternative<ReadOwnership>(effect)) {
+                    events.emplace_back(OwnershipRead{record, revision, now, era});
+                } else if (const auto *connect = std::get_if<ConnectTarget>(&effect)) {
+                    events.emplace_back(TargetConnected{connect->address, true});
+                } else if (const auto *order = std::get_if<RangeOrder>(&effect)) {
+                    events.emplace_back(OrderEnded{order->order, OrderEndKind::Accepted, {}});
+                }
+            }
+        }
+    };
+    advance(StoreEraSeen{era});
+    advance(ControlPeers{{{"peer", 1, "peer", 0}}, 0});
+    advance(ControlTargets{{target}});
+    for (; (!record || record->ranges.empty()) && now < 120s; now += 50ms)
+        advance(ControlTick{});
+    REQUIRE(control.isController());
+    advance(StoreEraSeen{++era});
+    for (const Time end = now + 3s; !hasSteppedDown && now < end; now += 50ms)
+        advance(ControlTick{});
+    CHECK(hasSteppedDown);
+    CHECK_FALSE(wasActive);
+}
