Take the store's response to a write for that write only

Cause: a confirmation read may show the effect of a write of the ownership record before the write's own response comes. The controller then goes on and may write again; the late response of the first write counted as the confirmation of the second, whose new owners were granted although no record named them yet. If the controller is lost before the second write takes effect, the next controller grants the keys by the record: two owners.

Change: writes are numbered, and responses name the write. The new case of rangerole_test fails without it: the next owner is connected, and granted, on the response to the first write.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -97,6 +97,7 @@
     std::uint64_t revision = 0;
     Time requestedAt = 0ms; ///< When the call was sent.
     StoreEra era = 0; ///< Of the store when it answered.
+    std::uint64_t write = 0; ///< WriteOwnership::write.
 };
 
 /// A conditional write failed because the revision has changed. Carries the current record.
@@ -105,6 +106,7 @@
     OwnershipRecord record;
     std::uint64_t revision = 0;
     StoreEra era = 0; ///< Of the store when it answered.
+    std::uint64_t write = 0; ///< WriteOwnership::write.
 };
 
 /// Heartbeat of a service's controller, sent to all daemons.
@@ -223,6 +225,7 @@
 {
     OwnershipRecord record;
     std::uint64_t expectedRevision = 0;
+    std::uint64_t write = 0; ///< Differs between the writes of a daemon. The response repeats it.
 };
 
 /// Opens one more connection to a target, for later grants. The adapter reports the result with one TargetConnected.
@@ -416,6 +419,8 @@
     // Election. In rangecontrol.cpp.
     void startClaimIfDue();
     void writeClaim(const std::optional<OwnershipRecord> &record, std::uint64_t revision);
+    /// Writes m_pendingRecord.
+    void writePendingRecord(std::uint64_t expectedRevision);
     OwnershipRecord claimBasedOn(const OwnershipRecord &record) const;
     void confirmOrStepDown(const OwnershipRead &event);
     void becomeController();
@@ -514,6 +519,7 @@
     OwnershipRecord m_storedRecord; ///< Last record in the store that this daemon wrote as controller.
     std::uint64_t m_resignationSentTerm = 0; ///< Latest term whose controller was sent this daemon's resignation.
     OwnershipRecord m_pendingRecord; ///< Of the pending write.
+    std::uint64_t m_pendingWrite = 0; ///< Of the latest write. Responses to earlier ones are ignored.
     std::uint64_t m_revision = 0;
     bool m_isStopping = false;
     std::vector<PastController> m_activePredecessors; ///< Those that aren't known to have stopped.
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -214,12 +214,20 @@
     logEvent(events::rangeControlClaimed,
              "term " + std::to_string(m_pendingRecord.term) + " era " + std::to_string(m_era)
                  + (isOutdated(record) ? ": the record is outdated, the owners are unknown" : ""));
-    m_effects.emplace_back(WriteOwnership{m_pendingRecord, revision});
+    writePendingRecord(revision);
+}
+
+void RangeControl::writePendingRecord(std::uint64_t expectedRevision)
+{
+    m_effects.emplace_back(WriteOwnership{m_pendingRecord, expectedRevision, ++m_pendingWrite});
 }
 
 void RangeControl::on(const OwnershipWritten &event)
 {
     learnEra(event.era);
+    // A read may have shown the effect of a write before its response came, and another write may have followed.
+    if (event.write != m_pendingWrite)
+        return;
     // In another era than the record's, the revision that the write required may have matched by chance.
     if (event.era != m_era || event.era != m_pendingRecord.era)
         return on(OwnershipCallFailed{true});
@@ -240,9 +248,11 @@
     if (event.era < m_era)
         return on(OwnershipCallFailed{true});
     learnEra(event.era);
+    if (event.write != m_pendingWrite)
+        return;
     // A write whose response was lost may have taken effect. Its repetition then conflicts with the same record.
     if (event.record == m_pendingRecord && (m_role == Role::Claiming || m_isWritePending)) {
-        on(OwnershipWritten{event.revision, m_storeConfirmedAt, event.era});
+        on(OwnershipWritten{event.revision, m_storeConfirmedAt, event.era, event.write});
         return;
     }
     if (m_role == Role::Controller && m_needsRestore) {
--- a/packages/core/src/rangecontrol_eras.cpp
+++ b/packages/core/src/rangecontrol_eras.cpp
@@ -90,7 +90,7 @@
     logEvent(events::rangeControlClaimed,
              "term " + std::to_string(m_pendingRecord.term) + " era " + std::to_string(m_era)
                  + ": restores the record of term " + std::to_string(m_term));
-    m_effects.emplace_back(WriteOwnership{m_pendingRecord, *m_restoreRevision});
+    writePendingRecord(*m_restoreRevision);
     m_restoreRevision.reset();
 }
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -448,7 +448,7 @@
     m_pendingRecord = makeRecord();
     m_isWritePending = true;
     m_nextWriteAt = m_now + m_timing.storeWriteTimeout;
-    m_effects.emplace_back(WriteOwnership{m_pendingRecord, m_revision});
+    writePendingRecord(m_revision);
 }
 
 void RangeControl::applyWrittenRecord()
--- a/packages/core/tests/rangerole_test.cpp
+++ b/packages/core/tests/rangerole_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <set>
 #include <variant>
 
 using namespace sardinehinge::core;
@@ -67,7 +69,7 @@
                     if (claimed.term == 0)
                         claimed = write->record;
                     expectedRevision = write->expectedRevision;
-                    events.emplace_back(OwnershipWritten{++revision, now});
+                    events.emplace_back(OwnershipWritten{++revision, now, 0, write->write});
                 } else if (std::holds_alternative<ReadOwnership>(effect) && revision == 100) {
                     events.emplace_back(OwnershipRead{std::nullopt, 0, now});
                 }
@@ -102,8 +104,8 @@
                 if (!std::holds_alternative<ReadOwnership>(effect))
                     continue;
                 for (const ControlEffect &next : control.handle(OwnershipRead{std::nullopt, 0, now, readEra}, now)) {
-                    if (std::holds_alternative<WriteOwnership>(next)) {
-                        control.handle(OwnershipWritten{7, now, answerEra}, now);
+                    if (const auto *write = std::get_if<WriteOwnership>(&next)) {
+                        control.handle(OwnershipWritten{7, now, answerEra, write->write}, now);
                         return;
                     }
                 }
@@ -144,7 +146,7 @@
                     || (hasSteppedDown && (write != nullptr || std::holds_alternative<SendHeartbeat>(effect)));
                 if (write != nullptr) {
                     record = write->record;
-                    events.emplace_back(OwnershipWritten{++revision, now, era});
+                    events.emplace_back(OwnershipWritten{++revision, now, era, write->write});
                 } else if (std::holds_alternative<ReadOwnership>(effect)) {
                     events.emplace_back(OwnershipRead{record, revision, now, era});
                 } else if (const auto *connect = std::get_if<ConnectTarget>(&effect)) {
@@ -167,3 +169,68 @@
     CHECK(hasSteppedDown);
     CHECK_FALSE(wasActive);
 }
+
+TEST_CASE("A late response to a write that a read has shown isn't taken for the response to the next write")
+{
+    RangeControl control("service", {"self", 1}, 100s);
+    Time now = 100s;
+    std::uint64_t revision = 0;
+    std::optional<OwnershipRecord> record;
+    std::vector<WriteOwnership> unanswered;
+    std::set<std::string> connected;
+    bool answersWrites = true;
+    const auto advance = [&](const ControlEvent &event) {
+        std::vector<ControlEvent> events{event};
+        while (!events.empty()) {
+            const auto effects = control.handle(events.front(), now);
+            events.erase(events.begin());
+            for (const ControlEffect &effect : effects) {
+                if (const auto *write = std::get_if<WriteOwnership>(&effect)) {
+                    if (answersWrites) {
+                        record = write->record;
+                        events.emplace_back(OwnershipWritten{++revision, now, 0, write->write});
+                    } else {
+                        unanswered.push_back(*write);
+                    }
+                } else if (std::holds_alternative<ReadOwnership>(effect)) {
+                    events.emplace_back(OwnershipRead{record, revision, now});
+                } else if (const auto *connect = std::get_if<ConnectTarget>(&effect)) {
+                    connected.insert(connect->address);
+                    events.emplace_back(TargetConnected{connect->address, true});
+                } else if (const auto *order = std::get_if<RangeOrder>(&effect)) {
+                    events.emplace_back(OrderEnded{order->order, OrderEndKind::Accepted, "token"});
+                }
+            }
+        }
+    };
+    const auto targetNamed = [](const std::string &id, bool isDraining) {
+        RegisteredTarget target;
+        target.identity = {id, 1};
+        target.service = "service";
+        target.address = id;
+        target.slots = 6;
+        target.isDraining = isDraining;
+        return target;
+    };
+    const auto tickUntil = [&](const std::function<bool()> &condition) {
+        for (const Time end = now + 20s; !condition() && now < end; now += 50ms)
+            advance(ControlTick{});
+        REQUIRE(condition());
+    };
+    advance(ControlTargets{{targetNamed("first", false)}});
+    tickUntil([&] { return connected.contains("first"); });
+    answersWrites = false;
+    advance(ControlTargets{{targetNamed("first", true), targetNamed("second", false)}});
+    tickUntil([&] { return unanswered.size() == 1; });
+    // The write has taken effect; a read shows it before its response comes.
+    record = unanswered.front().record;
+    ++revision;
+    tickUntil([&] { return connected.contains("second"); });
+    advance(ControlTargets{{targetNamed("second", true), targetNamed("third", false)}});
+    tickUntil([&] { return unanswered.size() == 2; });
+    advance(OwnershipWritten{revision, now, 0, unanswered.front().write});
+    advance(ControlTick{});
+    CHECK_FALSE(connected.contains("third"));
+    advance(OwnershipWritten{revision + 1, now, 0, unanswered.back().write});
+    CHECK(connected.contains("third"));
+}
--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -320,13 +320,13 @@
     if (!m_record && write.expectedRevision != 0)
         return OwnershipCallFailed{true};
     if (m_record && write.expectedRevision != m_recordRevision)
-        return OwnershipConflict{*m_record, m_recordRevision, m_era};
+        return OwnershipConflict{*m_record, m_recordRevision, m_era, write.write};
     if (!m_record || *m_record != write.record) {
         m_record = write.record;
         m_recordRevision = ++m_revision;
         keepCopy();
     }
-    return OwnershipWritten{m_recordRevision, requestedAt, m_era};
+    return OwnershipWritten{m_recordRevision, requestedAt, m_era, write.write};
 }
 
 void RangeWorld::execute(std::size_t index, const WriteOwnership &effect)
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -382,12 +382,12 @@
     m_metrics.storeWrites.Increment();
     m_platform->ownership().write(
         service, effect.record, effect.expectedRevision,
-        [this, service, asked = bootTime()](const edges::OwnershipReply &reply) {
+        [this, service, asked = bootTime(), write = effect.write](const edges::OwnershipReply &reply) {
             eraSeen(reply.era);
             if (reply.outcome == edges::StoreOutcome::Ok)
-                run(service, core::OwnershipWritten{reply.revision, asked, reply.era});
+                run(service, core::OwnershipWritten{reply.revision, asked, reply.era, write});
             else if (reply.outcome == edges::StoreOutcome::Conflict && reply.record)
-                run(service, core::OwnershipConflict{*reply.record, reply.revision, reply.era});
+                run(service, core::OwnershipConflict{*reply.record, reply.revision, reply.era, write});
             else
                 run(service, core::OwnershipCallFailed{true});
         });
