Read and log the rate limit that a target names in its answers

A target may name, in the header Server-Limit, the requests a second that it takes from all daemons together. E630 and E631 log its begin, each change of the rate and its end, with the rate; the gauge sardinehinge_targets counts targets with the condition rate_limited.

Ruled out: ending the belief by any answer without the header. Answers overtake each other on their connections, and a refusal may come from a queue that was filled before the limit.

--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -22,14 +22,16 @@
 {
     bool isLeaving = false; ///< It is about to stop.
     std::optional<Duration> quietFor; ///< It wants no request from this daemon for this time.
+    std::optional<double> rateLimit; ///< Requests a second that it accepts from all daemons together.
 
-    bool isEmpty() const noexcept { return !isLeaving && !quietFor; }
+    bool isEmpty() const noexcept { return !isLeaving && !quietFor && !rateLimit; }
     bool operator==(const TargetNotice &) const = default;
 };
 
 enum class TargetSignal {
     Leaving,
     Quiet,
+    RateLimit,
 };
 
 /// Which answer carried a notice.
@@ -45,6 +47,7 @@
     SignalSource source = SignalSource::Request;
     bool hasBegun = false; ///< False: it ended.
     Duration time = 0ms; ///< How long it will last when it begins, 0 if not known; how long it lasted when it ends.
+    double rate = 0; ///< With TargetSignal::RateLimit: requests a second.
 
     bool operator==(const BeliefChange &) const = default;
 };
@@ -53,12 +56,13 @@
 enum class TargetCondition : std::uint8_t {
     Ready,
     WarmingUp,
+    RateLimited,
     Ejected,
     Quiet,
     Draining, ///< The registry says so.
     Leaving, ///< The target says so.
 };
-constexpr std::size_t targetConditions = 6;
+constexpr std::size_t targetConditions = 7;
 
 /// Parameters of TargetState.
 struct TargetTiming
@@ -91,15 +95,26 @@
     std::optional<Time> leavingSince() const noexcept { return m_leavingSince; }
     bool isQuiet(Time now) const noexcept { return now < m_quietUntil; }
     Time quietUntil() const noexcept { return m_quietUntil; }
-    bool isAny(Time now) const noexcept { return isLeaving() || isQuiet(now); }
+    /// Requests a second that the target accepts from all daemons together; std::nullopt: any number.
+    std::optional<double> rateLimit() const noexcept { return m_rateLimit; }
+    /// Ends the rate limit if a request sent at `sentAt` was answered without one. An answer to an earlier request may
+    /// be older than the limit.
+    std::vector<BeliefChange> answeredWithoutLimit(Time sentAt, Time now);
+    bool isAny(Time now) const noexcept { return isLeaving() || isQuiet(now) || m_rateLimit; }
 
 private:
+    BeliefChange limitEnded(Time now) const;
+
     std::optional<Time> m_leavingSince;
     SignalSource m_leavingSource = SignalSource::Request;
     Time m_quietUntil = 0ms;
     Time m_quietSince = 0ms;
     SignalSource m_quietSource = SignalSource::Request;
     bool m_isQuietOpen = false; ///< The end of the quiet time hasn't been returned by takeEnded().
+    std::optional<double> m_rateLimit;
+    Time m_limitSince = 0ms; ///< When the current rate was first named.
+    Time m_limitNamedAt = 0ms; ///< By the latest answer that named one.
+    SignalSource m_limitSource = SignalSource::Request;
 };
 
 /// Everything that one daemon knows of whether an incarnation of a target may be sent requests: its own notices, its
@@ -131,6 +146,11 @@
 
     TargetBeliefs &beliefs() noexcept { return m_beliefs; }
     const TargetBeliefs &beliefs() const noexcept { return m_beliefs; }
+    /// As TargetBeliefs::answeredWithoutLimit().
+    std::vector<BeliefChange> answeredWithoutLimit(Time sentAt, Time now)
+    {
+        return m_beliefs.answeredWithoutLimit(sentAt, now);
+    }
     /// Restores what was believed of the same incarnation before its entry vanished.
     void restore(const TargetBeliefs &beliefs);
     TargetScore &score() noexcept { return m_score; }
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -245,6 +245,9 @@
     }
     if (target == service.targets.end())
         return;
+    if (end.end == AttemptEnd::Answered && !end.notice.rateLimit)
+        reportBeliefs(request.service, target->second.entry.identity,
+                      target->second.state.answeredWithoutLimit(request.sentAt, now));
     // The request may have been withdrawn, which says nothing about the target.
     const TargetState &state = target->second.state;
     if (end.end == AttemptEnd::NothingSent
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -24,9 +24,34 @@
         }
         m_quietUntil = std::max(m_quietUntil, now + std::min(*notice.quietFor, maxQuietTime));
     }
+    if (notice.rateLimit) {
+        m_limitNamedAt = now;
+        if (m_rateLimit != notice.rateLimit) {
+            if (m_rateLimit)
+                changes.push_back(limitEnded(now));
+            m_rateLimit = notice.rateLimit;
+            m_limitSince = now;
+            m_limitSource = source;
+            changes.push_back({TargetSignal::RateLimit, source, true, 0ms, *m_rateLimit});
+        }
+    }
     return changes;
 }
 
+BeliefChange TargetBeliefs::limitEnded(Time now) const
+{
+    return {TargetSignal::RateLimit, m_limitSource, false, now - m_limitSince, m_rateLimit.value_or(0)};
+}
+
+std::vector<BeliefChange> TargetBeliefs::answeredWithoutLimit(Time sentAt, Time now)
+{
+    if (!m_rateLimit || sentAt <= m_limitNamedAt)
+        return {};
+    const BeliefChange ended = limitEnded(now);
+    m_rateLimit.reset();
+    return {ended};
+}
+
 std::vector<BeliefChange> TargetBeliefs::takeEnded(Time now)
 {
     if (!m_isQuietOpen || isQuiet(now))
@@ -42,6 +67,8 @@
         ended.push_back({TargetSignal::Leaving, m_leavingSource, false, now - *m_leavingSince});
     if (m_isQuietOpen)
         ended.push_back({TargetSignal::Quiet, m_quietSource, false, std::min(now, m_quietUntil) - m_quietSince});
+    if (m_rateLimit)
+        ended.push_back(limitEnded(now));
     return ended;
 }
 
@@ -107,6 +134,8 @@
         return TargetCondition::Quiet;
     if (m_score.isEjected(now))
         return TargetCondition::Ejected;
+    if (m_beliefs.rateLimit())
+        return TargetCondition::RateLimited;
     return isWarmingUp(now) ? TargetCondition::WarmingUp : TargetCondition::Ready;
 }
 
--- a/packages/core/tests/targetstate_test.cpp
+++ b/packages/core/tests/targetstate_test.cpp
@@ -279,6 +279,75 @@
     CHECK(count(TargetCondition::Quiet) == 0);
 }
 
+TEST_CASE("A rate limit is believed until a later request is answered without one, or another incarnation runs")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(Bench &)> change;
+        std::vector<BeliefChange> reported;
+        bool isLimited; ///< Afterwards.
+    };
+    const BeliefChange ended{TargetSignal::RateLimit, SignalSource::Request, false, 1s, 20};
+    const auto [name, change, reported, isLimited] = GENERATE_COPY(values<Case>({
+        {"answered without a limit, later request",
+         [](Bench &bench) {
+             bench.arrive("/write/");
+             bench.finish(bench.sends.back(), AttemptEnd::Answered);
+         },
+         {ended},
+         false},
+        {"answered without a limit, earlier request",
+         [](Bench &bench) { bench.finish(bench.sends[1], AttemptEnd::Answered); },
+         {},
+         true},
+        {"refused without a limit",
+         [](Bench &bench) {
+             bench.arrive("/write/");
+             bench.finish(bench.sends.back(), AttemptEnd::Shed);
+         },
+         {},
+         true},
+        {"named again",
+         [](Bench &bench) {
+             bench.notice(bench.sends[0], {false, {}, 20.0});
+         },
+         {},
+         true},
+        {"another rate",
+         [](Bench &bench) {
+             bench.notice(bench.sends[0], {false, {}, 8.0});
+         },
+         {ended, {TargetSignal::RateLimit, SignalSource::Request, true, 0ms, 8}},
+         true},
+        {"another incarnation",
+         [](Bench &bench) {
+             auto targets = targetsOf(plain, 1);
+             targets[0].identity.incarnation = 2;
+             bench.take(bench.router.setTargets(targets, bench.now));
+         },
+         {ended},
+         false},
+    }));
+    INFO(name);
+    Bench bench(1);
+    bench.arrive("/write/");
+    bench.arrive("/write/");
+    bench.notice(bench.sends[0], {false, {}, 20.0});
+    REQUIRE(bench.beliefs.size() == 1);
+    CHECK(bench.beliefs[0].change == BeliefChange{TargetSignal::RateLimit, SignalSource::Request, true, 0ms, 20});
+    bench.beliefs.clear();
+    bench.now += 1s;
+    change(bench);
+    std::vector<BeliefChange> changes;
+    for (const TargetBelief &belief : bench.beliefs)
+        changes.push_back(belief.change);
+    CHECK(changes == reported);
+    bench.take(bench.router.surveyTargets(bench.now));
+    CHECK(bench.router.targetCounts().at(static_cast<std::size_t>(TargetCondition::RateLimited))
+          == (isLimited ? 1 : 0));
+}
+
 TEST_CASE("Beliefs about vanished targets are bounded in number and time")
 {
     DepartedTargets departed;
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -129,7 +129,15 @@
 
 const char *nameOf(core::TargetSignal signal)
 {
-    return signal == core::TargetSignal::Leaving ? "leaving" : "quiet";
+    switch (signal) {
+    case core::TargetSignal::Leaving:
+        return "leaving";
+    case core::TargetSignal::Quiet:
+        return "quiet";
+    case core::TargetSignal::RateLimit:
+        return "rate_limit";
+    }
+    return "unknown";
 }
 
 const char *nameOf(core::SignalSource source)
@@ -138,7 +146,7 @@
 }
 
 constexpr std::array<const char *, core::targetConditions> conditionNames
-    = {"ready", "warming_up", "ejected", "quiet", "draining", "leaving"};
+    = {"ready", "warming_up", "rate_limited", "ejected", "quiet", "draining", "leaving"};
 
 } // namespace
 
@@ -422,10 +430,12 @@
 void GatewayTraffic::act(const core::TargetBelief &effect)
 {
     const core::BeliefChange &change = effect.change;
-    m_events.record(Severity::Info, change.hasBegun ? core::events::targetBeliefBegan : core::events::targetBeliefEnded,
-                    "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation) + " service="
-                        + effect.service + " signal=" + nameOf(change.signal) + " source=" + nameOf(change.source)
-                        + (change.hasBegun ? " for_ms=" : " age_ms=") + std::to_string(milliseconds(change.time)));
+    m_events.record(
+        Severity::Info, change.hasBegun ? core::events::targetBeliefBegan : core::events::targetBeliefEnded,
+        "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation)
+            + " service=" + effect.service + " signal=" + nameOf(change.signal) + " source=" + nameOf(change.source)
+            + (change.hasBegun ? " for_ms=" : " age_ms=") + std::to_string(milliseconds(change.time))
+            + (change.signal == core::TargetSignal::RateLimit ? " rate=" + std::to_string(change.rate) : ""));
     if (change.signal != core::TargetSignal::Leaving || !change.hasBegun || !m_shardedServices.contains(effect.service))
         return;
     if (!m_tellControl(effect))
