Keep all daemons together within the rate that a target accepts

What callers saw: nothing; all were served.

Cause: the limit wasn't read, and nothing in the design could have kept it. What a daemon does by itself (TargetScore's limit, queues, quiet times) bounds what one daemon has in flight, not the sum of all. The class: a bound on the sum of what all daemons do, enforced by each alone. The same class was looked for elsewhere: retries (RetryBudget divides the slack by the daemons) and connections (10 a target and daemon) hold by shares; quiet times are meant for one daemon.

Ruled out: an equal share of the rate for each daemon wastes most of it where the load is uneven, and with thousands of daemons a burst of one request each exceeds any rate. Shares by demand need the same exchange as permits and are slower to follow. Telling the others of a limit isn't needed: each request's answer names it, and a daemon without an answer sends few.

Change: each request to a target that limits its rate needs a permit (RatePermits). One daemon per target, first by rendezvous hashing, gives permits out at the target's rate (PermitAllocator, generic cell rate algorithm) and says when the first may be used; what can't be sent in time is rejected at once, as not run, until the time at which a permit is expected. Nothing is stored. A coordinator that doesn't answer three datagrams is passed over; a daemon that is asked although another one should be the coordinator gives out half of the rate; one that reaches none gives itself half of an equal share. Permits last 250 ms, so changes of coordinators exceed the rate only briefly. Daemons that are denied are told when to ask again, 200 a second for each target. The controller of a keyed service learns the limits from the answers to its orders and plans keys by them.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -71,5 +71,6 @@
 constexpr std::uint32_t targetBeliefBegan = 630;
 constexpr std::uint32_t targetBeliefEnded = 631;
 constexpr std::uint32_t targetLeavingTold = 632;
+constexpr std::uint32_t permitCoordinatorSilent = 633;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -105,7 +105,16 @@
     bool operator==(const TargetBelief &) const = default;
 };
 
-using GatewayEffect = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief>;
+/// Asks for permits for a rate-limited target. The adapter answers with GatewayRouter::permitsGranted().
+struct AskPermits
+{
+    PermitRequest request;
+
+    bool operator==(const AskPermits &) const = default;
+};
+
+using GatewayEffect
+    = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief, AskPermits>;
 
 /// How an attempt ended, as reported by the adapter.
 struct GatewayAttemptEnd
@@ -176,6 +185,8 @@
     /// it answered an order. Call it before attemptFinished() for the same answer.
     Effects targetNoticed(const std::string &service, const TargetIdentity &target, const TargetNotice &notice,
                           SignalSource source, Time now);
+    /// Takes in the answer to AskPermits.
+    Effects permitsGranted(const PermitGrant &grant, Time now);
     /// Returns the beliefs about targets that have ended since the last call, and counts the targets for
     /// targetCounts(). Call it about twice a second.
     Effects surveyTargets(Time now);
@@ -218,6 +229,7 @@
         std::map<std::string, Duration> routeBaselines; ///< Baseline latency by route name.
         std::vector<RequestId> queue; ///< By priority, then arrival.
         std::map<std::uint32_t, std::uint32_t> keyLoad;
+        std::string preferred; ///< A rate-limited target that would be chosen if there were a permit for it.
     };
 
     struct Request
@@ -245,7 +257,8 @@
         Target *target = nullptr;
         GatewayError error = GatewayError::NoTarget; ///< Meaningful without a target.
         bool isTransient = false; ///< Whether a target may become available soon; Overloaded and NoOwner only.
-        Time availableAt = 0ms; ///< Without a target: when the first one's quiet time ends; 0 if that isn't the reason.
+        Time availableAt = 0ms; ///< Without a target: when the first one's quiet time ends or it may get a permit; 0 if
+                                ///< that isn't the reason.
     };
 
     bool isSharded(const std::string &service) const;
@@ -258,9 +271,16 @@
     Service &serviceOf(const std::string &name);
     TargetChoice chooseTarget(const Request &request, Service &service, Time now);
     TargetChoice chooseOwner(const Request &request, Service &service, Time now);
-    TargetChoice waitForQuietEnd(const Request &request, Time availableAt) const;
-    /// Returns when the first target that may serve the request can be asked again; 0 if one of them isn't quiet.
-    Time quietEnd(const Request &request, const Service &service, Time now) const;
+    TargetChoice waitUntil(const Request &request, Time availableAt) const;
+    TargetChoice waitForPermit(const Request &request, const Service &service, Target &owner, Time now) const;
+    /// Returns when the first target that may serve the request can be sent one: when its quiet time ends, or when it
+    /// may get a permit; 0 if one of them can be sent a request now.
+    Time admissionTime(const Request &request, const Service &service, Time now) const;
+    /// Returns when the target may be sent a request; 0 if nothing that it said of itself prevents that now.
+    static Time admissionTime(const TargetState &state, Time now) noexcept;
+    void keepForPermits(const Service &service, Target &owner, Time now);
+    void askPermits(const std::string &serviceName, Time now);
+    void askPermits(const std::string &serviceName, Target &target, std::size_t wanted, Duration maxWait, Time now);
     void reportBeliefs(const std::string &service, const TargetIdentity &target,
                        const std::vector<BeliefChange> &changes);
     void withdrawUnsent(const std::string &service, const TargetIdentity &target);
--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -67,6 +67,7 @@
     /// claiming control without knowing the owners: half of maxAuthorityWithoutStore.
     Duration outdatedClaimDelay = std::chrono::seconds(10);
     double loadDecayFactor = 0.75; ///< Share of the key load that is kept from one planning period to the next.
+    double rateLimitShare = 0.8; ///< Of a target's rate limit that is planned for: the rate of requests varies.
 
     bool operator==(const OwnershipTiming &) const = default;
 };
@@ -179,6 +180,8 @@
     std::uint64_t order = 0;
     OrderEndKind end = OrderEndKind::Unanswered;
     std::string handover; ///< Handover token, from an accepted release.
+    std::optional<double> rateLimit
+        = std::nullopt; ///< Requests a second that the target accepts; of an answered order.
 };
 
 /// Load measured by one daemon.
@@ -549,6 +552,7 @@
     Time m_linkReadAt = 0ms; ///< When the store was last read for it.
     KeyLoad m_keyLoad;
     TargetSpeeds m_speeds;
+    std::map<std::string, double> m_rateLimits; ///< By target, from its answer to the latest order.
     std::uint64_t m_announcementSequence = 0;
     Time m_nextAnnouncementAt = 0ms;
     std::vector<RoutedRange> m_announcedRanges;
--- a/packages/core/include/sardinehinge/core/rangeplanner.h
+++ b/packages/core/include/sardinehinge/core/rangeplanner.h
@@ -19,6 +19,12 @@
     bool operator==(const RangeCandidate &) const = default;
 };
 
+/// Lowers the capacity of targets that accept a limited load, so that their fair share of `load` stays within it; the
+/// others get what is left. If all targets are limited, they share the load in proportion to their limits.
+/// `limits`: greatest load by target.
+std::vector<RangeCandidate> limitCapacities(std::vector<RangeCandidate> candidates,
+                                            const std::map<std::string, double> &limits, double load);
+
 /// Reassigns a key range from one target to another.
 struct RangeMove
 {
--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/target.h>
 #include <sardinehinge/core/targetscore.h>
 
@@ -21,8 +22,8 @@
 struct TargetNotice
 {
     bool isLeaving = false; ///< It is about to stop.
-    std::optional<Duration> quietFor; ///< It wants no request from this daemon for this time.
-    std::optional<double> rateLimit; ///< Requests a second that it accepts from all daemons together.
+    std::optional<Duration> quietFor = std::nullopt; ///< It wants no request from this daemon for this time.
+    std::optional<double> rateLimit = std::nullopt; ///< Requests a second that it accepts from all daemons together.
 
     bool isEmpty() const noexcept { return !isLeaving && !quietFor && !rateLimit; }
     bool operator==(const TargetNotice &) const = default;
@@ -142,6 +143,12 @@
     std::optional<Time> keyedEnd() const noexcept;
     bool isQuiet(Time now) const noexcept { return m_beliefs.isQuiet(now); }
     bool isWarmingUp(Time now) const noexcept { return now < m_warmupEnd; }
+    /// Whether each request to the target needs a permit.
+    bool isRateLimited() const noexcept { return m_beliefs.rateLimit().has_value(); }
+    /// Whether no permit is needed now, or one can be used.
+    bool isPermitted(Time now) noexcept { return !isRateLimited() || m_permits.isUsable(now); }
+    RatePermits &permits() noexcept { return m_permits; }
+    const RatePermits &permits() const noexcept { return m_permits; }
     TargetCondition condition(Time now) const noexcept;
 
     TargetBeliefs &beliefs() noexcept { return m_beliefs; }
@@ -162,6 +169,7 @@
     TargetTiming m_timing;
     TargetBeliefs m_beliefs;
     TargetScore m_score;
+    RatePermits m_permits;
     std::optional<Time> m_drainingSince; ///< By the registry.
     Time m_warmupEnd = 0ms;
     Time m_nextRequest = 0ms;
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -119,7 +119,9 @@
         }
         ++service.keyLoad[*head.key];
     }
+    const std::string serviceName = request.service; // The request may end.
     dispatch(request, now);
+    askPermits(serviceName, now);
     return takeEffects();
 }
 
@@ -282,7 +284,7 @@
         if (owner != targets.end() && isRejectingKeys(owner->second))
             return false;
     }
-    if (quietEnd(request, serviceOf(request.service), now) > std::min(now + retryWait(request), request.deadline))
+    if (admissionTime(request, serviceOf(request.service), now) > std::min(now + retryWait(request), request.deadline))
         return false;
     constexpr std::uint32_t maxSends = 4;
     if (request.attempts >= maxSends || request.deadline - now < request.route->latencyObjective / 8)
@@ -351,11 +353,12 @@
         const bool isShedWithoutQueue = isSharded(service) && wasShedWithoutQueue(request, end.end);
         reject(request, GatewayError::Overloaded,
                request.target + (isShedWithoutQueue ? " shed the request without queueing" : " has no free slot"),
-               isShedWithoutQueue && quietEnd(request, serviceOf(service), now) == 0ms
+               isShedWithoutQueue && admissionTime(request, serviceOf(service), now) == 0ms
                    ? retryAfter(request, m_limits.shedRetryAfter)
                    : rejectionDelay(request, GatewayError::Overloaded, now));
     }
     dispatchQueued(service, now);
+    askPermits(service, now);
     return takeEffects();
 }
 
@@ -404,8 +407,10 @@
         endUncertain(request, GatewayError::TimedOut, request.target + " did not respond in time");
     }
     for (auto &[name, service] : m_services) {
-        if (!service.queue.empty())
-            dispatchQueued(name, now);
+        if (service.queue.empty())
+            continue;
+        dispatchQueued(name, now);
+        askPermits(name, now);
     }
     return takeEffects();
 }
@@ -420,8 +425,8 @@
 Duration GatewayRouter::rejectionDelay(const Request &request, GatewayError error, Time now)
 {
     const Duration objective = request.route->latencyObjective;
-    if (const Time end = quietEnd(request, serviceOf(request.service), now); end > now) {
-        // Callers come back after the quiet time, over a while in which the targets are let serve them.
+    if (const Time end = admissionTime(request, serviceOf(request.service), now); end > now) {
+        // Callers come back after that time, over a while in which the targets are let serve them.
         std::uniform_real_distribution<double> spread(0, 1);
         return end - now + std::chrono::duration_cast<Duration>(objective * spread(m_random));
     }
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -102,32 +102,48 @@
     return takeEffects();
 }
 
-Time GatewayRouter::quietEnd(const Request &request, const Service &service, Time now) const
+Time GatewayRouter::admissionTime(const TargetState &state, Time now) noexcept
+{
+    if (state.isQuiet(now))
+        return state.nextRequest();
+    const Time denied = state.permits().deniedUntil();
+    return state.isRateLimited() && now < denied ? denied : Time(0);
+}
+
+Time GatewayRouter::admissionTime(const Request &request, const Service &service, Time now) const
 {
     if (isSharded(request.service)) {
         const RoutedRange *range = service.owners.find(*request.head.key);
         const auto owner = range == nullptr ? service.targets.end() : service.targets.find(range->owner);
-        return owner != service.targets.end() && owner->second.state.isQuiet(now) ? owner->second.state.nextRequest()
-                                                                                  : Time(0);
+        return owner == service.targets.end() ? Time(0) : admissionTime(owner->second.state, now);
     }
     Time first = Time::max();
     for (const auto &[id, target] : service.targets) {
-        if (!target.state.isStaying())
-            continue;
-        if (!target.state.isQuiet(now))
-            return 0ms;
-        first = std::min(first, target.state.nextRequest());
+        if (target.state.isStaying())
+            first = std::min(first, admissionTime(target.state, now));
     }
     return first == Time::max() ? Time(0) : first;
 }
 
-/// A request waits for the end of a quiet time only if it may still be queued then.
-GatewayRouter::TargetChoice GatewayRouter::waitForQuietEnd(const Request &request, Time availableAt) const
+/// A request waits only if it may still be queued then.
+GatewayRouter::TargetChoice GatewayRouter::waitUntil(const Request &request, Time availableAt) const
 {
     return {nullptr, GatewayError::Overloaded, availableAt < std::min(request.queueDeadline, request.deadline),
             availableAt};
 }
 
+GatewayRouter::TargetChoice GatewayRouter::waitForPermit(const Request &request, const Service &service, Target &owner,
+                                                         Time now) const
+{
+    RatePermits &permits = owner.state.permits();
+    const std::size_t position = queuedAhead(service, request);
+    if (position < permits.count(now))
+        return waitUntil(request, permits.usableFrom(position));
+    if (now < permits.deniedUntil())
+        return waitUntil(request, permits.deniedUntil());
+    return {nullptr, GatewayError::Overloaded, true};
+}
+
 GatewayRouter::TargetChoice GatewayRouter::chooseTarget(const Request &request, Service &service, Time now)
 {
     return isSharded(request.service) ? chooseOwner(request, service, now) : chooseCheapest(request, service, now);
@@ -148,11 +164,13 @@
     if (const auto end = state.keyedEnd(); end && now >= *end)
         return {nullptr, GatewayError::NoOwner, true};
     if (state.isQuiet(now))
-        return waitForQuietEnd(request, state.nextRequest());
+        return waitUntil(request, state.nextRequest());
     if (state.score().isEjected(now) && state.score().inFlight() != 0)
         return {nullptr, GatewayError::NoOwner, false};
     if (isRejectingKeys(target->second) && now < target->second.nextProbe)
         return {nullptr, GatewayError::NoOwner, false};
+    if (!target->second.state.isPermitted(now))
+        return waitForPermit(request, service, target->second, now);
     if (!state.score().hasRoom() || now < state.nextRequest())
         return {nullptr, GatewayError::Overloaded, true};
     return {&target->second, GatewayError::NoOwner, false};
@@ -162,17 +180,21 @@
 {
     Target *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    double preferredCost = std::numeric_limits<double>::max();
     bool isAnyUsable = false;
-    Time firstQuietEnd = Time::max();
+    Time firstAdmission = Time::max();
+    service.preferred.clear();
     std::uniform_real_distribution<double> jitter(1.0, 1.1);
     for (auto &[id, target] : service.targets) {
         const TargetState &state = target.state;
         const TargetScore &score = state.score();
         if (request.attempts != 0 && id == request.target)
             continue;
-        if (!state.admits(now)) {
-            if (state.isStaying() && state.isQuiet(now))
-                firstQuietEnd = std::min(firstQuietEnd, state.nextRequest());
+        const bool isPermitted = target.state.isPermitted(now);
+        if (!state.admits(now) || (!isPermitted && now < state.permits().deniedUntil())) {
+            const Time admission = admissionTime(state, now);
+            if (state.isStaying() && admission != 0ms)
+                firstAdmission = std::min(firstAdmission, admission);
             else if (state.isStaying() && !score.isEjected(now))
                 isAnyUsable = true; // Soon: it takes requests at a pace.
             continue;
@@ -184,20 +206,26 @@
             continue;
         const bool isRemote = target.entry.failureDomain != m_failureDomain;
         const double cost = score.cost(isRemote, state.isWarmingUp(now), now) * jitter(m_random);
-        if (cost < bestCost) {
+        if (isPermitted && cost < bestCost) {
             bestCost = cost;
             best = &target;
+        } else if (!isPermitted && cost < preferredCost && state.permits().mayAsk(now)) {
+            preferredCost = cost;
+            service.preferred = id;
         }
     }
+    if (preferredCost >= bestCost)
+        service.preferred.clear();
     if (best == nullptr && !isAnyUsable) {
         // No target is usable: rather than reject the request, probe an ejected one that has no request in flight.
         for (auto &[id, target] : service.targets) {
-            if (target.state.admits(now) && target.state.score().inFlight() == 0 && id != request.target)
+            if (target.state.admits(now) && target.state.isPermitted(now) && target.state.score().inFlight() == 0
+                && id != request.target)
                 best = &target;
         }
     }
-    if (best == nullptr && !isAnyUsable && firstQuietEnd != Time::max())
-        return waitForQuietEnd(request, firstQuietEnd);
+    if (best == nullptr && !isAnyUsable && firstAdmission != Time::max())
+        return waitUntil(request, firstAdmission);
     return {best, isAnyUsable ? GatewayError::Overloaded : GatewayError::NoTarget, isAnyUsable};
 }
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -70,6 +70,10 @@
     if (event.targets.size() > m_targets.size())
         m_targetsChangedAt = m_now;
     m_targets.clear();
+    std::erase_if(m_rateLimits, [&event](const auto &limit) {
+        return std::none_of(event.targets.begin(), event.targets.end(),
+                            [&limit](const RegisteredTarget &target) { return target.identity.id == limit.first; });
+    });
     for (const RegisteredTarget &target : event.targets) {
         m_targets[target.identity.id] = target;
         m_addresses[target.identity.id] = target.address;
@@ -231,6 +235,10 @@
         return;
     const PendingOrder order = found->second;
     m_pendingOrders.erase(found);
+    if (event.rateLimit)
+        m_rateLimits[order.target.id] = *event.rateLimit;
+    else if (event.end == OrderEndKind::Accepted)
+        m_rateLimits.erase(order.target.id);
     TargetLink &link = m_links[order.address];
     if (event.end == OrderEndKind::NotConnected && link.openedAt <= order.sentAt)
         link.isOpen = false;
@@ -320,13 +328,19 @@
 std::vector<RangeCandidate> RangeControl::candidates() const
 {
     std::vector<RangeCandidate> candidates;
+    std::map<std::string, double> limits;
+    // The load of a steady rate of one request a second, by decay().
+    const double loadPerRate
+        = std::chrono::duration<double>(m_timing.planInterval).count() / (1 - m_timing.loadDecayFactor);
     for (const RegisteredTarget &target : readyTargets()) {
+        if (const auto limit = m_rateLimits.find(target.identity.id); limit != m_rateLimits.end())
+            limits[target.identity.id] = limit->second * m_timing.rateLimitShare * loadPerRate;
         double capacity = static_cast<double>(target.slots) * m_speeds.speed(target.identity.id, m_now);
         if (target.warmupLeft > 0ms)
             capacity *= warmUpCapacityShare;
         candidates.push_back({target.identity.id, capacity});
     }
-    return candidates;
+    return limits.empty() ? candidates : limitCapacities(std::move(candidates), limits, m_keyLoad.total());
 }
 
 std::map<std::string, double> RangeControl::loadByTarget() const
--- a/packages/core/src/rangeplanner.cpp
+++ b/packages/core/src/rangeplanner.cpp
@@ -76,6 +76,57 @@
     return {{range.first, middle}, {middle + 1, range.last}};
 }
 
+std::vector<RangeCandidate> limitCapacities(std::vector<RangeCandidate> candidates,
+                                            const std::map<std::string, double> &limits, double load)
+{
+    constexpr double minCapacity = 1e-3; ///< Keeps ratios to the capacity finite.
+    /// Load that the other targets take on, as a multiple of their share without limits. What doesn't fit is rejected
+    /// at the limited targets, at once, rather than after a wait in the queues of all.
+    constexpr double maxLoadGrowth = 1.5;
+    std::set<std::string> limited;
+    for (bool isChanged = true; isChanged;) {
+        isChanged = false;
+        double restLoad = load;
+        double restCapacity = 0;
+        for (const RangeCandidate &candidate : candidates) {
+            if (limited.contains(candidate.id))
+                restLoad -= limits.at(candidate.id);
+            else
+                restCapacity += candidate.capacity;
+        }
+        if (restCapacity <= 0)
+            break;
+        // No load is left if the limits of some targets allow all of it: the others keep their capacity.
+        const double meanLoad = std::max(restLoad, 0.0) / restCapacity;
+        for (RangeCandidate &candidate : candidates) {
+            const auto limit = limits.find(candidate.id);
+            if (limit == limits.end() || limited.contains(candidate.id)
+                || meanLoad * candidate.capacity <= limit->second)
+                continue;
+            limited.insert(candidate.id);
+            isChanged = true;
+        }
+    }
+    if (limited.empty())
+        return candidates;
+    double restLoad = load;
+    double restCapacity = 0;
+    double capacity = 0;
+    for (const RangeCandidate &candidate : candidates) {
+        capacity += candidate.capacity;
+        if (limited.contains(candidate.id))
+            restLoad -= limits.at(candidate.id);
+        else
+            restCapacity += candidate.capacity;
+    }
+    const double meanLoad = restCapacity > 0 ? std::min(restLoad / restCapacity, maxLoadGrowth * load / capacity) : 1;
+    for (RangeCandidate &candidate : candidates) {
+        if (limited.contains(candidate.id))
+            candidate.capacity = std::max(limits.at(candidate.id) / meanLoad, minCapacity);
+    }
+    return candidates;
+}
+
 std::string leastLoadedTarget(const std::vector<RangeCandidate> &candidates, const std::map<std::string, double> &use,
                               double extra)
 {
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -111,6 +111,8 @@
 void TargetState::requestSent(Time now) noexcept
 {
     m_score.attemptStarted();
+    if (isRateLimited())
+        m_permits.take(now);
     if (m_beliefs.quietUntil() != 0ms && now < m_beliefs.quietUntil() + m_timing.readmissionTime)
         setNextRequest(now + m_timing.readmissionInterval);
 }
--- a/packages/core/tests/rangeplanner_test.cpp
+++ b/packages/core/tests/rangeplanner_test.cpp
@@ -134,3 +134,30 @@
     for (const RangeMove &move : moves)
         CHECK_FALSE(move.range.contains(11));
 }
+
+TEST_CASE("Targets that limit their rate get no more than that as their fair load, and the others the rest")
+{
+    struct Case
+    {
+        const char *name;
+        std::map<std::string, double> limits;
+        double load;
+        std::map<std::string, double> fair;
+    };
+    const auto [name, limits, load, fair] = GENERATE(values<Case>({
+        {"no limit", {}, 60, {{"a", 10}, {"b", 20}, {"c", 30}}},
+        {"limit above the fair load", {{"c", 31}}, 60, {{"a", 10}, {"b", 20}, {"c", 30}}},
+        {"one limited", {{"c", 15}}, 60, {{"a", 15}, {"b", 30}, {"c", 15}}},
+        {"a limit that binds after another", {{"b", 25}, {"c", 21}}, 60, {{"a", 14}, {"b", 25}, {"c", 21}}},
+        {"the others grow by half", {{"b", 25}, {"c", 15}}, 60, {{"a", 16.4}, {"b", 27.3}, {"c", 16.4}}},
+        {"all limited", {{"a", 2}, {"b", 4}, {"c", 4}}, 60, {{"a", 12}, {"b", 24}, {"c", 24}}},
+        {"nothing accepted", {{"c", 0}}, 60, {{"a", 20}, {"b", 40}, {"c", 0}}},
+    }));
+    INFO(name);
+    const auto candidates = limitCapacities({{"a", 1}, {"b", 2}, {"c", 3}}, limits, load);
+    double capacity = 0;
+    for (const RangeCandidate &candidate : candidates)
+        capacity += candidate.capacity;
+    for (const RangeCandidate &candidate : candidates)
+        CHECK(candidate.capacity / capacity * load == Approx(fair.at(candidate.id)).margin(0.1));
+}
--- a/packages/core/tests/routerbench.h
+++ b/packages/core/tests/routerbench.h
@@ -103,6 +103,8 @@
                 refusals.push_back(*refused);
             else if (const auto *belief = std::get_if<TargetBelief>(&effect))
                 beliefs.push_back(*belief);
+            else if (const auto *ask = std::get_if<AskPermits>(&effect))
+                asks.push_back(ask->request);
         }
     }
 
@@ -129,6 +131,13 @@
         }
     }
 
+    /// Answers the latest request for permits.
+    void grant(std::uint32_t count, Duration startsIn = 0ms, Duration retryIn = 0ms)
+    {
+        const PermitRequest &ask = asks.back();
+        take(router.permitsGranted({ask.service, ask.target, ask.number, count, startsIn, 50ms, retryIn}, now));
+    }
+
     Time lastSend(const std::string &target) const
     {
         Time last = 0ms;
@@ -146,6 +155,7 @@
     std::vector<CancelSend> cancels;
     std::vector<OwnerRefused> refusals;
     std::vector<TargetBelief> beliefs;
+    std::vector<PermitRequest> asks;
     std::vector<Time> sendTimes; ///< Parallel to `sends`.
     std::size_t finished = 0; ///< Number of `sends` that run() has answered.
 };
--- a/packages/core/tests/targetstate_test.cpp
+++ b/packages/core/tests/targetstate_test.cpp
@@ -293,7 +293,8 @@
         {"answered without a limit, later request",
          [](Bench &bench) {
              bench.arrive("/write/");
-             bench.finish(bench.sends.back(), AttemptEnd::Answered);
+             bench.grant(1);
+             bench.finish(bench.sends.at(2), AttemptEnd::Answered);
          },
          {ended},
          false},
@@ -304,7 +305,8 @@
         {"refused without a limit",
          [](Bench &bench) {
              bench.arrive("/write/");
-             bench.finish(bench.sends.back(), AttemptEnd::Shed);
+             bench.grant(1);
+             bench.finish(bench.sends.at(2), AttemptEnd::Shed);
          },
          {},
          true},
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -35,6 +35,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Counter> &m_peerBytes;
     prometheus::Family<prometheus::Counter> &m_platformCalls;
+    prometheus::Family<prometheus::Counter> &m_permits;
     std::mutex m_mutex;
     std::vector<ReadGauge> m_gauges;
 
@@ -51,6 +52,8 @@
     prometheus::Counter &storeWrites;
     prometheus::Counter &storeWatches;
     prometheus::Counter &listReads;
+    prometheus::Counter &permitsGranted;
+    prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
 };
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -105,6 +105,8 @@
     , m_self{settings.id, 0}
     , m_registry(registryTiming(settings))
     , m_roster(settings.id, bootTime(), rosterTiming(settings))
+    , m_ranking(settings.id)
+    , m_permitTimer(m_worker.context())
 {
     m_worker.onError([this](const std::string &detail) {
         m_events.record(Severity::Error, core::events::taskFailed, "duty=control detail=\"" + detail + "\"");
@@ -405,7 +407,7 @@
                                       m_tellTraffic(GatewayTargetNotice{service, target, notice});
                                   if (!target.id.empty() && notice.isLeaving)
                                       takeLeaving(service, target);
-                                  run(service, core::OrderEnded{order, end, handover});
+                                  run(service, core::OrderEnded{order, end, handover, notice.rateLimit});
                               });
 }
 
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -3,8 +3,10 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
 #include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/targetregistry.h>
 #include <sardinehinge/core/watchroster.h>
 #include <sardinehinge/daemon/eventlog.h>
@@ -89,6 +91,17 @@
     void tellLeaving(core::Time now);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
+    // Permits for rate-limited targets. In gatewaycontrol_permits.cpp.
+    void take(const core::AskPermits &request);
+    void carryOut(const core::PermitBroker::Effects &effects);
+    void watchPermits();
+    void act(const core::AskCoordinator &effect);
+    void act(const core::AnswerDaemon &effect);
+    void act(const core::DeliverPermits &effect);
+    void act(const core::CoordinatorSilent &effect);
+    void heard(const std::string &from, const core::PermitRequest &message);
+    void heard(const std::string &from, const core::PermitGrant &message);
+
     // The other daemons. In gatewaycontrol_peers.cpp.
     void enter();
     void listPeers();
@@ -144,6 +157,10 @@
     core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
+    core::DaemonRanking m_ranking; ///< Of all daemons that this one knows of.
+    core::PermitBroker m_permits;
+    boost::asio::steady_timer m_permitTimer;
+    bool m_isWatchingPermits = false;
     core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
     std::map<std::string, Service> m_services;
 };
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -91,6 +91,7 @@
     if (peer.incarnation < known.incarnation || known == merged)
         return;
     known = merged;
+    m_ranking.add(peer.id);
     m_events.record(Severity::Info, core::events::peerJoined,
                     "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
                         + " address=" + peer.address);
@@ -141,6 +142,7 @@
     addPeer({from, datagram.sender.incarnation, address, hello == nullptr ? 0 : hello->linkMbps});
     if (m_peers[from].incarnation > datagram.sender.incarnation)
         return;
+    m_ranking.heard(from, bootTime());
     std::visit([this, &from](const auto &message) { heard(from, message); }, datagram.message);
 }
 
--- a/packages/daemon/src/gatewaymessages.h
+++ b/packages/daemon/src/gatewaymessages.h
@@ -38,7 +38,7 @@
 
 /// Control duty to traffic duty.
 using ToTraffic = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate,
-                               GatewayTargetNotice>;
+                               GatewayTargetNotice, core::PermitGrant>;
 
 struct ServiceKeyLoad
 {
@@ -47,6 +47,6 @@
 };
 
 /// Traffic duty to control duty.
-using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused, core::TargetBelief>;
+using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused, core::TargetBelief, core::AskPermits>;
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -280,6 +280,14 @@
         m_router.targetNoticed(update.service, update.target, update.notice, core::SignalSource::Order, bootTime()));
 }
 
+void GatewayTraffic::take(const core::PermitGrant &grant)
+{
+    m_metrics.permitsGranted.Increment(grant.count);
+    if (grant.retryIn > core::Duration(0))
+        m_metrics.permitsDenied.Increment();
+    carryOut(m_router.permitsGranted(grant, bootTime()));
+}
+
 void GatewayTraffic::handle(std::uint64_t id, http::Request request, std::shared_ptr<http::Responder> responder)
 {
     const core::Time now = bootTime();
@@ -442,6 +450,11 @@
         m_untold.push_back(effect);
 }
 
+void GatewayTraffic::act(const core::AskPermits &effect)
+{
+    m_tellControl(effect); // A full ring loses it: the router asks again later.
+}
+
 void GatewayTraffic::armTimer()
 {
     if (m_isTimerArmed)
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -81,6 +81,7 @@
     void take(const GatewayOwnersUpdate &update);
     void take(const GatewayDaemonsUpdate &update);
     void take(const GatewayTargetNotice &update);
+    void take(const core::PermitGrant &grant);
     void carryOut(const core::GatewayRouter::Effects &effects);
     void act(const core::SendToTarget &effect);
     void act(const core::CancelSend &effect);
@@ -88,6 +89,7 @@
     void act(const core::EndWithError &effect);
     void act(const core::OwnerRefused &effect);
     void act(const core::TargetBelief &effect);
+    void act(const core::AskPermits &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
                       const core::TargetIdentity &target, const http::ExchangeResult &end);
     void surveyTargets(core::Time now);
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -21,6 +21,9 @@
     : m_requests(counters(m_registry, "sardinehinge_requests_total", "Callers' requests by outcome"))
     , m_peerBytes(counters(m_registry, "sardinehinge_control_bytes_total", "Bytes of control by kind and direction"))
     , m_platformCalls(counters(m_registry, "sardinehinge_platform_calls_total", "Calls to the platform by kind"))
+    , m_permits(
+          counters(m_registry, "sardinehinge_permits_total",
+                   "Permits for rate-limited targets that this daemon got, and requests for them not met in full"))
     , requestsDone(m_requests.Add({{"outcome", "done"}}))
     , requestsNotRun(m_requests.Add({{"outcome", "not_run"}}))
     , requestsUnknown(m_requests.Add({{"outcome", "unknown"}}))
@@ -37,6 +40,8 @@
     , storeWrites(m_platformCalls.Add({{"call", "write"}}))
     , storeWatches(m_platformCalls.Add({{"call", "watch"}}))
     , listReads(m_platformCalls.Add({{"call", "list"}}))
+    , permitsGranted(m_permits.Add({{"outcome", "granted"}}))
+    , permitsDenied(m_permits.Add({{"outcome", "denied"}}))
 {
 }
 
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -119,6 +119,27 @@
   3: i64 born,
 }
 
+struct PermitRequest {
+  1: string group,
+  2: string target,
+  3: i64 born,
+  4: double rate,     // Requests a second.
+  5: i32 wanted,
+  6: i32 maxWaitMs,
+  7: i64 number,
+}
+
+struct PermitGrant {
+  1: string group,
+  2: string target,
+  3: i64 born,
+  4: i64 number,
+  5: i32 count,
+  6: i64 startsInUs,
+  7: i64 intervalUs,
+  8: i64 retryInUs,
+}
+
 struct Hello {
   1: string address,
   2: bool isReply,
@@ -140,4 +161,6 @@
   12: optional WatchNotice watchNotice,
   13: optional TargetChanges targetChanges,
   14: optional Leaving leaving,
+  15: optional PermitRequest permitRequest,
+  16: optional PermitGrant permitGrant,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/result.h>
 #include <sardinehinge/core/watchroster.h>
 
@@ -80,9 +81,10 @@
     bool operator==(const Hello &) const = default;
 };
 
-using GatewayMessage = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControllerHeartbeat,
-                                    core::ControllerHeartbeatAck, core::ControllerResigned, OwnersWanted, LoadMessage,
-                                    RefusedMessage, Hello, core::WatchNotice, TargetChanges, LeavingMessage>;
+using GatewayMessage
+    = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControllerHeartbeat, core::ControllerHeartbeatAck,
+                   core::ControllerResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello, core::WatchNotice,
+                   TargetChanges, LeavingMessage, core::PermitRequest, core::PermitGrant>;
 
 /// A message and who sent it. The `from` fields of beats, resignations and notices are the sender's id.
 struct GatewayDatagram
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -16,6 +16,9 @@
 /// Latencies relative to a norm are carried in thousandths.
 constexpr double permille = 1000;
 constexpr double mostSlowness = 1000;
+/// Bounds of permits in one message, and of the times with them.
+constexpr std::uint32_t mostWanted = 100'000;
+constexpr core::Duration longestWait = std::chrono::hours(24);
 
 std::int64_t toWire(std::uint64_t value) noexcept
 {
@@ -27,6 +30,17 @@
     return static_cast<std::uint64_t>(value);
 }
 
+std::int64_t toMicroseconds(core::Duration time) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::clamp(time, -longestWait, longestWait)).count();
+}
+
+bool isWithinLimits(std::int64_t microseconds) noexcept
+{
+    constexpr std::int64_t most = std::chrono::microseconds(std::chrono::hours(24)).count();
+    return microseconds >= -most && microseconds <= most;
+}
+
 gatewaywire::FeedPosition toWire(const core::FeedPosition &position)
 {
     gatewaywire::FeedPosition out;
@@ -203,6 +217,34 @@
         out.__set_leaving(leaving);
     }
 
+    void operator()(const core::PermitRequest &message) const
+    {
+        gatewaywire::PermitRequest request;
+        request.__set_group(message.service);
+        request.__set_target(message.target.id);
+        request.__set_born(toWire(message.target.incarnation));
+        request.__set_rate(message.rate);
+        request.__set_wanted(static_cast<std::int32_t>(std::min(message.wanted, mostWanted)));
+        request.__set_maxWaitMs(static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::min(message.maxWait, longestWait)).count()));
+        request.__set_number(toWire(message.number));
+        out.__set_permitRequest(request);
+    }
+
+    void operator()(const core::PermitGrant &message) const
+    {
+        gatewaywire::PermitGrant grant;
+        grant.__set_group(message.service);
+        grant.__set_target(message.target.id);
+        grant.__set_born(toWire(message.target.incarnation));
+        grant.__set_number(toWire(message.number));
+        grant.__set_count(static_cast<std::int32_t>(std::min(message.count, mostWanted)));
+        grant.__set_startsInUs(toMicroseconds(message.startsIn));
+        grant.__set_intervalUs(toMicroseconds(message.interval));
+        grant.__set_retryInUs(toMicroseconds(message.retryIn));
+        out.__set_permitGrant(grant);
+    }
+
     void operator()(const Hello &message) const
     {
         gatewaywire::Hello hello;
@@ -294,11 +336,42 @@
     return changes;
 }
 
+std::optional<GatewayMessage> readPermitRequest(const gatewaywire::PermitRequest &in)
+{
+    const bool isValid = !in.group.empty() && !in.target.empty() && std::isfinite(in.rate) && in.rate >= 0
+        && in.wanted >= 0 && in.wanted <= static_cast<std::int32_t>(mostWanted) && in.maxWaitMs >= 0;
+    if (!isValid)
+        return std::nullopt;
+    return core::PermitRequest{in.group,
+                               {in.target, fromWire(in.born)},
+                               in.rate,
+                               static_cast<std::uint32_t>(in.wanted),
+                               std::chrono::milliseconds(in.maxWaitMs),
+                               fromWire(in.number)};
+}
+
+std::optional<GatewayMessage> readPermitGrant(const gatewaywire::PermitGrant &in)
+{
+    const bool isValid = !in.group.empty() && !in.target.empty() && in.count >= 0
+        && in.count <= static_cast<std::int32_t>(mostWanted) && isWithinLimits(in.startsInUs)
+        && isWithinLimits(in.intervalUs) && in.intervalUs >= 0 && isWithinLimits(in.retryInUs) && in.retryInUs >= 0;
+    if (!isValid)
+        return std::nullopt;
+    return core::PermitGrant{in.group,
+                             {in.target, fromWire(in.born)},
+                             fromWire(in.number),
+                             static_cast<std::uint32_t>(in.count),
+                             std::chrono::microseconds(in.startsInUs),
+                             std::chrono::microseconds(in.intervalUs),
+                             std::chrono::microseconds(in.retryInUs)};
+}
+
 std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
-        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges + isset.leaving;
+        + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges + isset.leaving
+        + isset.permitRequest + isset.permitGrant;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -339,6 +412,10 @@
         return isKey(in.refused.key) ? std::optional<GatewayMessage>(
                    RefusedMessage{in.refused.group, in.refused.target, static_cast<std::uint32_t>(in.refused.key)})
                                      : std::nullopt;
+    if (isset.permitRequest)
+        return readPermitRequest(in.permitRequest);
+    if (isset.permitGrant)
+        return readPermitGrant(in.permitGrant);
     if (isset.leaving) {
         if (in.leaving.group.empty() || in.leaving.target.empty())
             return std::nullopt;
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -31,6 +31,8 @@
             {{"a", core::RegisteredTarget{{"a", 1700000000000}, "s", "10.0.0.9:80", "d", 6, true, 2500ms, 41}},
              {"b", std::nullopt}},
             6},
+        core::PermitRequest{"s", {"a", 1700000000000}, 12.5, 3, 160ms, 7},
+        core::PermitGrant{"s", {"a", 1700000000000}, 7, 2, -250ms, 80ms, 1500us},
     };
     return all;
 }
@@ -65,5 +67,13 @@
             for (const core::RoutedRange &range : owners->ranges)
                 CHECK(range.range.first <= range.range.last);
         }
+        if (const auto *request = std::get_if<core::PermitRequest>(&datagram->message)) {
+            CHECK(request->rate >= 0);
+            CHECK(request->maxWait >= 0ms);
+        }
+        if (const auto *grant = std::get_if<core::PermitGrant>(&datagram->message)) {
+            CHECK(grant->interval >= 0ms);
+            CHECK(grant->retryIn >= 0ms);
+        }
     }
 }
