--- a/packages/core/include/sardinehinge/core/daemonranking.h
+++ b/packages/core/include/sardinehinge/core/daemonranking.h
@@ -26,8 +26,8 @@
     const std::string &self() const noexcept { return m_self; }
     /// Number of known daemons, with this one.
     std::size_t size() const noexcept { return m_daemons.size(); }
-    /// Adds a daemon that isn't known yet.
-    void add(const std::string &daemon);
+    /// Returns whether the daemon wasn't known yet.
+    bool add(const std::string &daemon);
     /// Records that a datagram of the daemon arrived.
     void heard(const std::string &daemon, Time now);
     /// Records that the daemon hasn't answered what it was sent since `since`. It is passed over for a while, unless
--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -72,5 +72,9 @@
 constexpr std::uint32_t targetBeliefEnded = 631;
 constexpr std::uint32_t targetLeavingTold = 632;
 constexpr std::uint32_t permitCoordinatorSilent = 633;
+constexpr std::uint32_t targetProbed = 640;
+constexpr std::uint32_t crashCounted = 641;
+constexpr std::uint32_t requestQuarantined = 642;
+constexpr std::uint32_t quarantineEnded = 643;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/gatewayconfig.h>
 #include <sardinehinge/core/keyrange.h>
+#include <sardinehinge/core/quarantine.h>
 #include <sardinehinge/core/requestrouter.h>
 #include <sardinehinge/core/retrybudget.h>
 #include <sardinehinge/core/target.h>
@@ -21,6 +22,7 @@
     std::string path;
     std::optional<std::uint32_t> key; ///< Required by sharded services.
     std::optional<Duration> callerTimeout; ///< Time that the caller will wait.
+    RequestFingerprint fingerprint = {}; ///< Not set: the request can't be quarantined.
 
     bool operator==(const GatewayRequest &) const = default;
 };
@@ -35,6 +37,7 @@
     Overloaded,
     TimedOut,
     ResponseLost,
+    Quarantined, ///< Targets that ran the request crashed.
 };
 
 // Effects.
@@ -113,8 +116,35 @@
     bool operator==(const AskPermits &) const = default;
 };
 
-using GatewayEffect
-    = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief, AskPermits>;
+/// Finds out whether a target's process still runs: the adapter opens a connection, and reports the outcome with
+/// GatewayRouter::targetProbed().
+struct ProbeTarget
+{
+    std::string service;
+    TargetIdentity target;
+    std::string address;
+
+    bool operator==(const ProbeTarget &) const = default;
+};
+
+/// Reports that a target ended while it had a request, to the daemons that count the request's crashes.
+struct TargetCrashed
+{
+    CrashReport report;
+
+    bool operator==(const TargetCrashed &) const = default;
+};
+
+/// Reports that a target has answered a quarantined request, which clears it.
+struct QuarantineRefuted
+{
+    RequestFingerprint request;
+
+    bool operator==(const QuarantineRefuted &) const = default;
+};
+
+using GatewayEffect = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief,
+                                   AskPermits, ProbeTarget, TargetCrashed, QuarantineRefuted>;
 
 /// How an attempt ended, as reported by the adapter.
 struct GatewayAttemptEnd
@@ -124,6 +154,7 @@
     AttemptEnd end = AttemptEnd::AnswerLost;
     bool isServerError = false; ///< With AttemptEnd::Answered: the response is a server error.
     TargetNotice notice; ///< Of a complete response.
+    bool isRefused = false; ///< With AttemptEnd::NothingSent: the target's host refused the connection.
 
     bool operator==(const GatewayAttemptEnd &) const = default;
 };
@@ -185,6 +216,10 @@
     /// it answered an order. Call it before attemptFinished() for the same answer.
     Effects targetNoticed(const std::string &service, const TargetIdentity &target, const TargetNotice &notice,
                           SignalSource source, Time now);
+    /// Takes in the answer to ProbeTarget. Anything but a refusal leaves open whether the target's process has ended.
+    Effects targetProbed(const std::string &service, const TargetIdentity &target, bool isRefused, Time now);
+    /// Takes in that a request is quarantined, or isn't any more.
+    Effects quarantineChanged(const Quarantine &quarantine, Time now);
     /// Takes in the answer to AskPermits.
     Effects permitsGranted(const PermitGrant &grant, Time now);
     /// Returns the beliefs about targets that have ended since the last call, and counts the targets for
@@ -249,6 +284,16 @@
         std::string target; ///< Of the last attempt.
         std::string lastFailure;
         AttemptEnd lastEnd = AttemptEnd::Answered;
+        bool wasSuspect = false; ///< A response to an equal request had been lost before.
+    };
+
+    /// An attempt that goes on without its caller.
+    struct AbandonedAttempt
+    {
+        RequestFingerprint fingerprint;
+        std::string service;
+        std::string target;
+        Time sentAt = 0ms;
     };
 
     /// The target that a request can be sent to now, or the reason why there is none.
@@ -285,6 +330,15 @@
                        const std::vector<BeliefChange> &changes);
     void withdrawUnsent(const std::string &service, const TargetIdentity &target);
     TargetChoice chooseCheapest(const Request &request, Service &service, Time now);
+    /// When the request's quarantine ends; 0 if it isn't quarantined.
+    Time quarantineEnd(const RequestFingerprint &fingerprint, Time now) const noexcept;
+    void rejectQuarantined(Request &request, Time end, Time now);
+    void responseLost(const RequestFingerprint &fingerprint, const std::string &service, const std::string &target,
+                      Time sentAt, Time now);
+    void responseRead(const RequestFingerprint &fingerprint, Time now);
+    void targetEnded(const TargetIdentity &target, Time now);
+    void noteEnd(Request &request, const GatewayAttemptEnd &end, Time now);
+    void abandonedAttemptEnded(const GatewayAttemptEnd &end, Time now);
     void dispatch(Request &request, Time now);
     void send(Request &request, Target &target, Time now);
     void queueOrReject(Request &request, const TargetChoice &choice, Time now);
@@ -315,6 +369,9 @@
     std::map<std::string, Service> m_services;
     std::unordered_map<RequestId, Request> m_requests;
     std::array<std::size_t, targetConditions> m_targetCounts{};
+    CrashSuspects m_suspects;
+    std::map<RequestFingerprint, Time> m_quarantines; ///< End, by request.
+    std::map<std::pair<RequestId, std::uint32_t>, AbandonedAttempt> m_abandoned; ///< By request and attempt.
     Effects m_effects;
 };
 
--- /dev/null
+++ b/packages/core/include/sardinehinge/core/quarantine.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <sardinehinge/core/crashsuspects.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+/// Keeps requests that crash the targets that run them from all targets.
+///
+/// A few daemons by request, found by DaemonRanking, count the targets that ended while they had the request, whichever
+/// daemons saw it. After the third the request is quarantined, and that spreads from daemon to daemon (rumour mongering
+/// and anti-entropy; Demers et al., 1987), so that it costs a daemon the same whatever the size of the fleet. No daemon
+/// sends a quarantined request to a target until its time is over, or until a daemon reports that a target has answered
+/// it since: a request that was only near several crashes is not guilty. Nothing is stored: what a daemon counted is
+/// lost with it, which the other counting daemons make up for, and what is quarantined is known to all.
+namespace sardinehinge::core {
+
+/// Targets that must have ended with a request before it is quarantined.
+constexpr std::size_t crashesToQuarantine = 3;
+/// Daemons that count the crashes of one request.
+constexpr std::size_t crashCounters = 3;
+constexpr Duration quarantineTime = std::chrono::minutes(10);
+
+/// That a request is quarantined, or isn't any more.
+struct Quarantine
+{
+    RequestFingerprint request;
+    std::uint32_t generation = 1; ///< Rises with each change; the highest counts. Odd: in force; even: it was cleared.
+    Duration evidenceAge = 0ms; ///< Since the first crash counted: an answer of a target since then clears the request.
+    Duration timeLeft = 0ms;
+
+    bool isInForce() const noexcept { return generation % 2 == 1; }
+    bool operator==(const Quarantine &) const = default;
+};
+
+/// Counts the targets that ended with each request. Does no I/O.
+class CrashCounter
+{
+public:
+    static constexpr Duration memory = quarantineTime; ///< Between two crashes of one request.
+    static constexpr std::size_t maxRequests = 4096; ///< The one whose latest crash is oldest gives way.
+    /// If targets ended at the same time with copies of the request, something else may have ended all of them. Then
+    /// an answer shortly before clears the request, too.
+    static constexpr Duration answerTimeBeforeConcurrentCrashes = std::chrono::seconds(5);
+
+    /// Counts a target once per request, and returns the request's crashes. `evidenceAge` and `timeLeft` of the
+    /// quarantine that follows from the third are in quarantine().
+    std::size_t add(const CrashReport &report, Time now);
+    /// Returns the quarantine that the request's crashes justify, if there are enough.
+    std::optional<Quarantine> quarantine(const RequestFingerprint &request, Time now) const;
+    /// Forgets the crashes of a request that has been cleared.
+    void forget(const RequestFingerprint &request);
+
+private:
+    struct Crash
+    {
+        TargetIdentity target;
+        Time sentAt = 0ms;
+        Time endedAt = 0ms;
+    };
+
+    std::map<RequestFingerprint, std::vector<Crash>> m_crashes;
+};
+
+/// The quarantines that one daemon knows of. Merging is commutative, so lost, doubled and reordered messages are
+/// harmless. Does no I/O.
+class QuarantineList
+{
+public:
+    static constexpr std::size_t maxRequests = 256; ///< The one that ends first gives way.
+
+    /// Takes in a quarantine. Returns whether it is news.
+    bool merge(const Quarantine &quarantine, Time now);
+    /// Returns the quarantine that clears the request, or nothing if none is in force.
+    std::optional<Quarantine> cleared(const RequestFingerprint &request, Time now) const;
+    /// Returns the generation that a new quarantine of the request has.
+    std::uint32_t nextGeneration(const RequestFingerprint &request) const;
+    std::vector<Quarantine> all(Time now) const;
+    /// A hash of all entries that haven't ended, the same for equal lists.
+    std::uint64_t digest(Time now) const noexcept;
+    /// Removes entries whose time is over, and returns those that were in force.
+    std::vector<RequestFingerprint> expire(Time now);
+    std::size_t inForce() const noexcept;
+    bool isEmpty() const noexcept { return m_entries.empty(); }
+
+private:
+    struct Entry
+    {
+        std::uint32_t generation = 0;
+        Time evidenceSince = 0ms;
+        Time end = 0ms;
+    };
+
+    Quarantine toQuarantine(const RequestFingerprint &request, const Entry &entry, Time now) const noexcept;
+
+    std::map<RequestFingerprint, Entry> m_entries;
+};
+
+} // namespace sardinehinge::core
--- a/packages/core/src/daemonranking.cpp
+++ b/packages/core/src/daemonranking.cpp
@@ -13,10 +13,12 @@
 {
 }
 
-void DaemonRanking::add(const std::string &daemon)
+bool DaemonRanking::add(const std::string &daemon)
 {
-    if (m_daemons.insert(daemon).second)
-        m_cache.clear();
+    if (!m_daemons.insert(daemon).second)
+        return false;
+    m_cache.clear();
+    return true;
 }
 
 void DaemonRanking::heard(const std::string &daemon, Time now)
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -103,6 +103,10 @@
         return takeEffects();
     }
     request.route = std::make_shared<const RouteRule>(*route);
+    if (const Time end = quarantineEnd(head.fingerprint, now); end != 0ms) {
+        rejectQuarantined(request, end, now);
+        return takeEffects();
+    }
     Duration allowed = head.callerTimeout.value_or(defaultCallerTimeout);
     if (route->timeout > 0ms)
         allowed = std::min(allowed, route->timeout);
@@ -272,6 +276,11 @@
         return false;
     if (!isNotRun && !request.route->isIdempotent)
         return false;
+    // A request whose response was lost twice in succession may be what ends its targets.
+    if (!isNotRun && request.wasSuspect)
+        return false;
+    if (quarantineEnd(request.head.fingerprint, now) != 0ms)
+        return false;
     if (request.attempts >= request.route->maxAttempts && end != AttemptEnd::NotOwner && end != AttemptEnd::NothingSent)
         return false;
     if (isSharded(request.service)) {
@@ -326,12 +335,15 @@
 GatewayRouter::Effects GatewayRouter::attemptFinished(const GatewayAttemptEnd &end, Time now)
 {
     const auto found = m_requests.find(end.id);
-    if (found == m_requests.end() || !found->second.isSent || found->second.attempts != end.attempt)
-        return {};
+    if (found == m_requests.end() || !found->second.isSent || found->second.attempts != end.attempt) {
+        abandonedAttemptEnded(end, now);
+        return takeEffects();
+    }
     Request &request = found->second;
     const std::string service = request.service;
     request.isSent = false;
     request.lastEnd = end.end;
+    noteEnd(request, end, now);
     recordResult(request, end, now);
     if (!isCertainlyNotRun(end.end))
         request.mayHaveRun = true;
@@ -373,6 +385,9 @@
     if (request.isSent) {
         // A request that isn't idempotent continues: after a cancellation it would still be unknown whether it ran.
         m_effects.emplace_back(CancelSend{id, request.attempts, !request.route->isIdempotent});
+        constexpr std::size_t maxAbandoned = 1024;
+        if (!request.route->isIdempotent && m_abandoned.size() < maxAbandoned)
+            m_abandoned[{id, request.attempts}] = {request.head.fingerprint, service, request.target, request.sentAt};
         if (const auto target = serviceOf(service).targets.find(request.target);
             target != serviceOf(service).targets.end())
             target->second.state.score().attemptDiscarded();
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -20,6 +20,7 @@
             const TargetIdentity &identity = known.second.entry.identity;
             if (found != entries.end() && found->second->identity == identity)
                 return false;
+            targetEnded(identity, now);
             const TargetBeliefs &beliefs = known.second.state.beliefs();
             if (found != entries.end() && found->second->identity.incarnation > identity.incarnation)
                 reportBeliefs(name, identity, beliefs.drop(now));
--- /dev/null
+++ b/packages/core/tests/quarantine_test.cpp
@@ -0,0 +1,559 @@
+#include "routerbench.h"
+
+#include <sardinehinge/core/quarantinekeeper.h>
+
+using namespace sardinehinge::core;
+using namespace sardinehinge::core::tests;
+
+namespace {
+
+/// What the simulated daemons do wrong, to show that the checks can fail.
+enum class PlantedFault {
+    None,
+    ReportsNothing,
+    SpreadsNothing,
+    BelievesNoAnswer, ///< An answer to a quarantined request counts for nothing.
+};
+
+/// What happens beside crash-inducing requests.
+enum class Disturbance {
+    None,
+    Lossy, ///< Datagrams are lost, doubled, and late.
+    Restarts, ///< Daemons are killed and start again with an empty memory; datagrams are lost, too.
+    Crashes, ///< Half of the targets are killed at once, again and again, and connections break.
+};
+
+struct Setup
+{
+    std::size_t daemons = 8;
+    bool isKeyed = false;
+    bool isIdempotent = true;
+    bool hasCrashInducing = true;
+    bool isHot = false; ///< A third of the innocent requests are equal.
+    Disturbance disturbance = Disturbance::None;
+    PlantedFault fault = PlantedFault::None;
+};
+
+/// Simulates, in virtual time, daemons with a router and a keeper each, and targets that crash. Records what the
+/// targets see of the crash-inducing request, and what becomes of the others.
+class CrashWorld
+{
+public:
+    static constexpr Duration endOfRun = 30s;
+    static constexpr RequestFingerprint crashInducing{0xdead, 1};
+    static constexpr RequestFingerprint hot{0x407, 1};
+
+    CrashWorld(std::uint64_t seed, const Setup &setup)
+        : m_random(seed)
+        , m_setup(setup)
+    {
+        for (const RegisteredTarget &entry : targetsOf(service(), 8))
+            m_targets[entry.identity.id] = {entry, true, {}};
+        for (std::size_t index = 0; index < setup.daemons; ++index)
+            start(index);
+        assignKeys();
+    }
+
+    void run()
+    {
+        const Duration step = 5ms;
+        for (Time time = m_now; time < endOfRun; time += step) {
+            at(time, [this] {
+                for (auto &[index, daemon] : m_daemons) {
+                    take(daemon, daemon.router.tick(m_now));
+                    take(daemon, daemon.keeper.tick(m_now));
+                }
+                disturb();
+                request(m_setup.isHot && isOneIn(3) ? hot : RequestFingerprint{1, ++m_requests});
+                if (m_setup.hasCrashInducing && m_now > 2s && isOneIn(60)) {
+                    for (std::size_t copies = isOneIn(3) ? 3 : 1; copies != 0; --copies)
+                        request(crashInducing);
+                }
+            });
+        }
+        while (!m_due.empty()) {
+            const auto next = m_due.begin();
+            m_now = std::max(m_now, next->first);
+            const auto action = std::move(next->second);
+            m_due.erase(next);
+            action();
+        }
+    }
+
+    /// Requests that reached targets more than 3 s after the third of them had crashed under equal ones.
+    std::size_t lateArrivals() const
+    {
+        if (m_crashes.size() < crashesToQuarantine)
+            return 0;
+        return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(), [this](Time arrival) {
+            return arrival > m_crashes[crashesToQuarantine - 1] + 3s;
+        }));
+    }
+    std::size_t crashes() const { return m_crashes.size(); }
+
+    std::size_t innocents = 0;
+    std::size_t innocentsAnswered = 0;
+    std::size_t innocentsQuarantined = 0;
+    std::size_t quarantined = 0;
+    std::size_t falselyNotRun = 0; ///< Rejected as not run although a target had begun it.
+
+private:
+    struct Daemon
+    {
+        std::size_t index;
+        std::uint64_t life;
+        GatewayRouter router;
+        QuarantineKeeper keeper;
+        DaemonRanking ranking;
+        std::map<RequestId, RequestFingerprint> requests = {};
+        std::set<RequestId> begun = {};
+        RequestId lastId = 0;
+    };
+
+    struct Attempt
+    {
+        SendToTarget send;
+        std::size_t daemon = 0;
+        std::uint64_t life = 0;
+    };
+
+    struct SimTarget
+    {
+        RegisteredTarget entry;
+        bool isUp = true;
+        std::map<std::uint64_t, Attempt> running; ///< By a number.
+    };
+
+    static std::string nameOf(std::size_t index) { return "daemon" + std::to_string(index); }
+    std::string service() const { return m_setup.isKeyed ? keyed : plain; }
+
+    Duration upTo(Duration most)
+    {
+        return Duration(std::uniform_int_distribution<Duration::rep>(1, most.count())(m_random));
+    }
+    bool isOneIn(int count) { return std::uniform_int_distribution<int>(1, count)(m_random) == 1; }
+    void at(Time time, std::function<void()> action) { m_due.emplace(time, std::move(action)); }
+
+    std::vector<RegisteredTarget> listed() const
+    {
+        std::vector<RegisteredTarget> entries;
+        for (const auto &[id, target] : m_targets)
+            entries.push_back(target.entry);
+        return entries;
+    }
+
+    void start(std::size_t index)
+    {
+        m_daemons.erase(index);
+        Daemon &daemon = m_daemons
+                             .emplace(index,
+                                      Daemon{index, ++m_lives, GatewayRouter(m_random(), "a"),
+                                             QuarantineKeeper(nameOf(index), m_random()), DaemonRanking(nameOf(index))})
+                             .first->second;
+        for (std::size_t other = 0; other < m_setup.daemons; ++other) {
+            if (other == index)
+                continue;
+            daemon.ranking.add(nameOf(other));
+            daemon.keeper.addDaemon(nameOf(other));
+            send(index, nameOf(other),
+                 [this, index](Daemon &to) { take(to, to.keeper.daemonStarted(nameOf(index), m_now)); });
+        }
+        daemon.router.setConfig(configOf());
+        take(daemon, daemon.router.setTargets(listed(), m_now));
+        take(daemon, daemon.router.setOwners(m_owners, m_now));
+    }
+
+    /// Gives the keys of targets that are down to others, as a controller does after a lease.
+    void assignKeys()
+    {
+        std::vector<std::string> up;
+        for (const auto &[id, target] : m_targets) {
+            if (target.isUp)
+                up.push_back(id);
+        }
+        if (up.empty())
+            return;
+        m_owners = {keyed, 1, m_owners.sequence + 1, {}};
+        const std::uint32_t parts = 16;
+        for (std::uint32_t part = 0; part < parts; ++part) {
+            const KeyRange range{part * 4096, (part * 4096) + 4095};
+            m_owners.ranges.push_back({range, up[part % up.size()], RangeState::Held});
+        }
+        for (auto &[index, daemon] : m_daemons)
+            take(daemon, daemon.router.setOwners(m_owners, m_now));
+    }
+
+    void crash(const std::string &id)
+    {
+        SimTarget &target = m_targets.at(id);
+        if (!std::exchange(target.isUp, false))
+            return;
+        for (const auto &[number, attempt] : std::exchange(target.running, {}))
+            at(m_now + upTo(3ms), [this, attempt = attempt] { finish(attempt, AttemptEnd::AnswerLost); });
+        at(m_now + 1700ms, [this] { assignKeys(); });
+        at(m_now + 2500ms + upTo(1s), [this, id] {
+            SimTarget &restarted = m_targets.at(id);
+            ++restarted.entry.identity.incarnation;
+            restarted.isUp = true;
+            for (auto &[index, daemon] : m_daemons)
+                take(daemon, daemon.router.setTargets(listed(), m_now));
+            assignKeys();
+        });
+    }
+
+    void disturb()
+    {
+        if (m_setup.disturbance == Disturbance::Restarts && isOneIn(300)) {
+            const auto index = std::uniform_int_distribution<std::size_t>(0, m_setup.daemons - 1)(m_random);
+            if (m_daemons.erase(index) != 0)
+                at(m_now + 500ms + upTo(2s), [this, index] { start(index); });
+        }
+        if (m_setup.disturbance != Disturbance::Crashes)
+            return;
+        if (isOneIn(700)) {
+            for (auto &[id, target] : m_targets) {
+                if (isOneIn(2))
+                    crash(id);
+            }
+        }
+        if (isOneIn(20)) { // One connection breaks.
+            for (auto &[id, target] : m_targets) {
+                if (target.running.empty() || !isOneIn(4))
+                    continue;
+                const Attempt attempt = target.running.begin()->second;
+                target.running.erase(target.running.begin());
+                finish(attempt, AttemptEnd::AnswerLost);
+                break;
+            }
+        }
+    }
+
+    void request(const RequestFingerprint &fingerprint)
+    {
+        if (m_daemons.empty())
+            return;
+        auto chosen = m_daemons.begin();
+        std::advance(chosen, std::uniform_int_distribution<std::size_t>(0, m_daemons.size() - 1)(m_random));
+        Daemon &daemon = chosen->second;
+        const RequestId id = ++daemon.lastId;
+        daemon.requests[id] = fingerprint;
+        innocents += fingerprint == crashInducing ? 0 : 1;
+        const std::string path = m_setup.isKeyed ? (m_setup.isIdempotent ? "/key/" : "/keywrite/")
+                                                 : (m_setup.isIdempotent ? "/read/" : "/write/");
+        const auto key = static_cast<std::uint32_t>((fingerprint.high * 31 + fingerprint.low * 7919) % (lastKey + 1));
+        take(daemon,
+             daemon.router.requestArrived(
+                 {id, "h", path, m_setup.isKeyed ? std::optional(key) : std::nullopt, 3s, fingerprint}, m_now));
+    }
+
+    Daemon *find(std::size_t index, std::uint64_t life)
+    {
+        const auto found = m_daemons.find(index);
+        return found == m_daemons.end() || found->second.life != life ? nullptr : &found->second;
+    }
+
+    void take(Daemon &daemon, const GatewayRouter::Effects &effects)
+    {
+        for (const GatewayEffect &effect : effects) {
+            if (const auto *send = std::get_if<SendToTarget>(&effect)) {
+                at(m_now + upTo(3ms), [this, attempt = Attempt{*send, daemon.index, daemon.life}] { arrive(attempt); });
+            } else if (const auto *end = std::get_if<EndWithError>(&effect)) {
+                const bool isInnocent = daemon.requests.at(end->id) != crashInducing;
+                const bool isQuarantined = end->error == GatewayError::Quarantined;
+                innocentsQuarantined += isInnocent && isQuarantined ? 1 : 0;
+                quarantined += !isInnocent && isQuarantined ? 1 : 0;
+                falselyNotRun += !end->mayHaveRun && daemon.begun.contains(end->id) ? 1 : 0;
+            } else if (const auto *answer = std::get_if<ForwardAnswer>(&effect)) {
+                innocentsAnswered += daemon.requests.at(answer->id) != crashInducing ? 1 : 0;
+            } else if (const auto *probe = std::get_if<ProbeTarget>(&effect)) {
+                at(m_now + upTo(4ms), [this, probe = *probe, index = daemon.index, life = daemon.life] {
+                    if (Daemon *to = find(index, life))
+                        take(*to,
+                             to->router.targetProbed(probe.service, probe.target, !m_targets.at(probe.target.id).isUp,
+                                                     m_now));
+                });
+            } else if (const auto *crashed = std::get_if<TargetCrashed>(&effect)) {
+                if (m_setup.fault != PlantedFault::ReportsNothing)
+                    take(daemon, daemon.keeper.crashed(crashed->report, daemon.ranking, m_now));
+            } else if (const auto *refuted = std::get_if<QuarantineRefuted>(&effect)) {
+                if (m_setup.fault != PlantedFault::BelievesNoAnswer)
+                    take(daemon, daemon.keeper.refuted(refuted->request, m_now));
+            }
+        }
+    }
+
+    void take(Daemon &daemon, const QuarantineKeeper::Effects &effects)
+    {
+        for (const QuarantineEffect &effect : effects) {
+            if (const auto *report = std::get_if<SendCrashReport>(&effect)) {
+                send(daemon.index, report->to,
+                     [this, report = report->report](Daemon &to) { take(to, to.keeper.reported(report, m_now)); });
+            } else if (const auto *told = std::get_if<SendQuarantines>(&effect)) {
+                if (m_setup.fault != PlantedFault::SpreadsNothing)
+                    send(daemon.index, told->to,
+                         [this, entries = told->entries](Daemon &to) { take(to, to.keeper.told(entries, m_now)); });
+            } else if (const auto *digest = std::get_if<SendQuarantineDigest>(&effect)) {
+                send(daemon.index, digest->to, [this, digest = *digest, from = nameOf(daemon.index)](Daemon &to) {
+                    take(to, to.keeper.compared(from, digest.digest, digest.isReply, m_now));
+                });
+            } else if (const auto *changed = std::get_if<QuarantineChanged>(&effect)) {
+                Quarantine quarantine = changed->quarantine;
+                if (m_setup.fault == PlantedFault::BelievesNoAnswer)
+                    quarantine.evidenceAge = 0ms;
+                take(daemon, daemon.router.quarantineChanged(quarantine, m_now));
+            }
+        }
+    }
+
+    void send(std::size_t from, const std::string &to, const std::function<void(Daemon &)> &action)
+    {
+        const bool isDisturbed
+            = m_setup.disturbance == Disturbance::Lossy || m_setup.disturbance == Disturbance::Restarts;
+        const int copies = isDisturbed && isOneIn(10) ? 0 : (isDisturbed && isOneIn(30) ? 2 : 1);
+        for (int copy = 0; copy < copies; ++copy) {
+            at(m_now + upTo(isDisturbed && isOneIn(20) ? 300ms : 5ms), [this, from, to, action] {
+                for (auto &[index, daemon] : m_daemons) {
+                    if (nameOf(index) == to && index != from)
+                        action(daemon);
+                }
+            });
+        }
+    }
+
+    void arrive(const Attempt &attempt)
+    {
+        Daemon *daemon = find(attempt.daemon, attempt.life);
+        SimTarget &target = m_targets.at(attempt.send.target.id);
+        if (daemon == nullptr)
+            return;
+        if (!target.isUp)
+            return finish(attempt, AttemptEnd::NothingSent);
+        if (target.entry.identity != attempt.send.target)
+            return finish(attempt, AttemptEnd::NotOwner);
+        const RequestFingerprint fingerprint = daemon->requests.at(attempt.send.id);
+        daemon->begun.insert(attempt.send.id);
+        const std::uint64_t number = ++m_attempts;
+        target.running[number] = attempt;
+        const std::string id = attempt.send.target.id;
+        const std::uint64_t incarnation = attempt.send.target.incarnation;
+        if (fingerprint == crashInducing) {
+            m_arrivals.push_back(m_now);
+            at(m_now + upTo(50ms), [this, id, incarnation] {
+                const SimTarget &ended = m_targets.at(id);
+                if (!ended.isUp || ended.entry.identity.incarnation != incarnation)
+                    return;
+                m_crashes.push_back(m_now);
+                crash(id);
+            });
+            return;
+        }
+        at(m_now + 20ms + upTo(100ms), [this, number, id] {
+            auto &running = m_targets.at(id).running;
+            const auto found = running.find(number);
+            if (found == running.end())
+                return;
+            const Attempt done = found->second;
+            running.erase(found);
+            finish(done, AttemptEnd::Answered);
+        });
+    }
+
+    void finish(const Attempt &attempt, AttemptEnd end)
+    {
+        Daemon *daemon = find(attempt.daemon, attempt.life);
+        if (daemon == nullptr)
+            return;
+        GatewayAttemptEnd result{attempt.send.id, attempt.send.attempt, end, false, {}};
+        result.isRefused = end == AttemptEnd::NothingSent;
+        take(*daemon, daemon->router.attemptFinished(result, m_now));
+    }
+
+    std::mt19937_64 m_random;
+    Setup m_setup;
+    Time m_now = 1s;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_attempts = 0;
+    std::map<std::size_t, Daemon> m_daemons;
+    std::map<std::string, SimTarget> m_targets;
+    RangeOwners m_owners;
+    std::multimap<Time, std::function<void()>> m_due;
+    std::vector<Time> m_crashes; ///< By the crash-inducing request.
+    std::vector<Time> m_arrivals; ///< Of the crash-inducing request, at targets.
+};
+
+} // namespace
+
+TEST_CASE("A request that has crashed three targets reaches no more of them, and others are served")
+{
+    struct Case
+    {
+        const char *name;
+        Setup setup;
+        double minAnswered = 0.8; ///< Of the other requests.
+    };
+    const auto [name, setup, minAnswered] = GENERATE(values<Case>({
+        {"reads", {8, false, true, true, false, Disturbance::None}},
+        {"writes", {8, false, false, true, false, Disturbance::None}},
+        {"keyed reads", {8, true, true, true, false, Disturbance::None}},
+        {"keyed writes", {11, true, false, true, false, Disturbance::None}},
+        {"two daemons", {2, false, true, true, false, Disturbance::None}},
+        {"many daemons", {75, true, true, true, false, Disturbance::Lossy}},
+        {"lossy network", {11, false, true, true, false, Disturbance::Lossy}},
+        {"daemons restart", {11, false, true, true, false, Disturbance::Restarts}},
+        {"daemons restart, keyed", {11, true, true, true, true, Disturbance::Restarts}},
+        {"half of the targets are killed again and again", {11, false, true, true, true, Disturbance::Crashes}, 0.7},
+    }));
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO(name << ", seed " << seed);
+        CrashWorld world(seed, setup);
+        world.run();
+        CHECK(world.crashes() >= crashesToQuarantine);
+        CHECK(world.lateArrivals() <= 3);
+        CHECK(world.quarantined > 10);
+        CHECK(world.falselyNotRun == 0);
+        CHECK(static_cast<double>(world.innocentsAnswered) > minAnswered * static_cast<double>(world.innocents));
+        CHECK(static_cast<double>(world.innocentsQuarantined) <= 0.002 * static_cast<double>(world.innocents));
+    }
+}
+
+TEST_CASE("Requests that were only near crashes stay served, however often targets are killed")
+{
+    const auto [isKeyed, isHot] = GENERATE(table<bool, bool>({{false, false}, {false, true}, {true, true}}));
+    INFO((isKeyed ? "keyed" : "not keyed") << (isHot ? ", many equal requests" : ""));
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        INFO("seed " << seed);
+        CrashWorld world(seed, {11, isKeyed, true, false, isHot, Disturbance::Crashes});
+        world.run();
+        CHECK(static_cast<double>(world.innocentsQuarantined) <= 0.002 * static_cast<double>(world.innocents));
+    }
+}
+
+TEST_CASE("The checks of quarantines fail without reports, spreading or the evidence of answers")
+{
+    const auto late = [](PlantedFault fault) {
+        CrashWorld world(1, {11, true, true, true, false, Disturbance::None, fault});
+        world.run();
+        return world.lateArrivals();
+    };
+    CHECK(late(PlantedFault::ReportsNothing) > 3);
+    CHECK(late(PlantedFault::SpreadsNothing) > 3);
+    std::size_t quarantined = 0;
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        CrashWorld world(seed, {11, false, true, false, true, Disturbance::Crashes, PlantedFault::BelievesNoAnswer});
+        world.run();
+        quarantined += world.innocentsQuarantined;
+    }
+    CHECK(quarantined > 100);
+}
+
+TEST_CASE("Only the end of its process makes a target's requests suspects, and an answer clears them")
+{
+    const RequestFingerprint request{1, 1};
+    const TargetIdentity target{"t", 1};
+    CrashSuspects suspects;
+    CHECK(suspects.lost(request, target, 10s, 11s));
+    CHECK_FALSE(suspects.lost({2, 2}, target, 10s, 11s)); // It is being probed already.
+    CHECK(suspects.lost({3, 3}, {"u", 1}, 10s, 11s));
+    CHECK_FALSE(suspects.lost({}, target, 10s, 11s));
+    CHECK(suspects.isSuspect(request, 11s));
+    SECTION("the target ended")
+    {
+        CHECK(suspects.targetEnded(target, 12s)
+              == std::vector<CrashReport>{{request, target, 2s, 1s}, {{2, 2}, target, 2s, 1s}});
+        CHECK(suspects.targetEnded(target, 12s).empty());
+    }
+    SECTION("it ended long after")
+    {
+        CHECK(suspects.targetEnded(target, 11s + CrashSuspects::evidenceTime + 1ms).empty());
+    }
+    SECTION("another incarnation ended")
+    {
+        CHECK(suspects.targetEnded({"t", 2}, 12s).empty());
+    }
+    SECTION("the request was answered")
+    {
+        suspects.answered(request, 12s);
+        CHECK_FALSE(suspects.isSuspect(request, 12s));
+        CHECK(suspects.wasAnsweredSince(request, 12s));
+        CHECK_FALSE(suspects.wasAnsweredSince(request, 12s + 1ms));
+        CHECK(suspects.targetEnded(target, 12s).size() == 1);
+    }
+    SECTION("a flood of others")
+    {
+        for (std::uint64_t index = 0; index < 10'000; ++index) {
+            suspects.lost({index + 10, 1}, target, 11s, 12s);
+            suspects.answered({index + 20'000, 1}, 12s);
+        }
+        CHECK(suspects.targetEnded(target, 12s).size() <= CrashSuspects::maxLosses);
+        CHECK_FALSE(suspects.wasAnsweredSince({20'000, 1}, 0ms));
+        CHECK(suspects.wasAnsweredSince({29'999, 1}, 0ms));
+    }
+}
+
+TEST_CASE("A target counts once for a request, and crashes at the same time are weaker evidence")
+{
+    const RequestFingerprint request{1, 1};
+    CrashCounter counter;
+    const Time now = 100s;
+    CHECK(counter.add({request, {"a", 1}, 3s, 2900ms}, now) == 1);
+    CHECK(counter.add({request, {"a", 1}, 3s, 2800ms}, now) == 1);
+    CHECK(counter.add({request, {"a", 2}, 2s, 1900ms}, now) == 2);
+    CHECK_FALSE(counter.quarantine(request, now));
+    SECTION("successive")
+    {
+        CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, now) == 3);
+        CHECK(counter.quarantine(request, now) == Quarantine{request, 1, 2900ms, quarantineTime});
+    }
+    SECTION("concurrent")
+    {
+        CHECK(counter.add({request, {"b", 1}, 1950ms, 1850ms}, now) == 3);
+        CHECK(counter.quarantine(request, now)->evidenceAge
+              == 2900ms + CrashCounter::answerTimeBeforeConcurrentCrashes);
+    }
+    SECTION("long after")
+    {
+        CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, now + CrashCounter::memory) == 1);
+    }
+    SECTION("cleared")
+    {
+        counter.forget(request);
+        CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, now) == 1);
+    }
+    SECTION("a flood of others")
+    {
+        for (std::uint64_t index = 0; index < 2 * CrashCounter::maxRequests; ++index)
+            counter.add({{2, index}, {"b", 1}, 1s, 900ms}, now);
+        CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, now) == 1);
+    }
+}
+
+TEST_CASE("Quarantine lists are equal in the end, whatever the order of messages, and bounded")
+{
+    const RequestFingerprint request{1, 1};
+    const Quarantine begun{request, 1, 1s, 600s};
+    QuarantineList list;
+    CHECK(list.digest(10s) == 0);
+    CHECK(list.merge(begun, 10s));
+    CHECK_FALSE(list.merge(begun, 11s));
+    CHECK(list.inForce() == 1);
+    const auto cleared = list.cleared(request, 12s);
+    REQUIRE(cleared);
+    CHECK_FALSE(cleared->isInForce());
+    QuarantineList other;
+    CHECK(other.merge(*cleared, 12s));
+    CHECK_FALSE(other.merge(begun, 12s));
+    CHECK(other.digest(12s) != list.digest(12s));
+    CHECK(list.merge(*cleared, 12s));
+    CHECK(other.digest(12s) == list.digest(12s));
+    CHECK(list.inForce() == 0);
+    CHECK_FALSE(list.cleared(request, 12s));
+    CHECK(list.nextGeneration(request) == 3);
+    CHECK(list.merge({request, 3, 1s, 5s}, 13s));
+    CHECK(list.expire(17s).empty());
+    CHECK(list.expire(18s) == std::vector{request});
+    CHECK_FALSE(list.merge({request, 5, 1s, 0s}, 13s));
+    for (std::uint64_t index = 1; index < 3 * QuarantineList::maxRequests; ++index)
+        list.merge({{2, index}, 1, 1s, 600s}, 20s);
+    CHECK(list.all(20s).size() == QuarantineList::maxRequests);
+}
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -52,6 +52,7 @@
     prometheus::Counter &storeWrites;
     prometheus::Counter &storeWatches;
     prometheus::Counter &listReads;
+    prometheus::Counter &requestsQuarantined; ///< Rejected because targets that ran equal requests crashed.
     prometheus::Counter &permitsGranted;
     prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
 };
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -106,11 +106,14 @@
     , m_registry(registryTiming(settings))
     , m_roster(settings.id, bootTime(), rosterTiming(settings))
     , m_ranking(settings.id)
+    , m_quarantines(settings.id, std::random_device()())
     , m_permitTimer(m_worker.context())
 {
     m_worker.onError([this](const std::string &detail) {
         m_events.record(Severity::Error, core::events::taskFailed, "duty=control detail=\"" + detail + "\"");
     });
+    m_metrics.addGauge("sardinehinge_quarantined_requests", "Requests that no target is sent, by fingerprint", {},
+                       [this] { return static_cast<double>(m_quarantineCount.load()); });
 }
 
 GatewayControl::~GatewayControl()
@@ -338,6 +341,7 @@
         publishTargets();
     const core::Time now = bootTime();
     tellLeaving(now);
+    carryOut(m_quarantines.tick(now), m_self.id);
     for (auto &[name, service] : m_services) {
         if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
             continue;
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -5,6 +5,7 @@
 
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
+#include <sardinehinge/core/quarantinekeeper.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/targetregistry.h>
@@ -102,6 +103,14 @@
     void heard(const std::string &from, const core::PermitRequest &message);
     void heard(const std::string &from, const core::PermitGrant &message);
 
+    // Requests that crash targets. In gatewaycontrol_quarantine.cpp.
+    void take(const core::TargetCrashed &report);
+    void take(const core::QuarantineRefuted &report);
+    void carryOut(const core::QuarantineKeeper::Effects &effects, const std::string &from);
+    void heard(const std::string &from, const core::CrashReport &message);
+    void heard(const std::string &from, const protocol::QuarantineMessage &message);
+    void heard(const std::string &from, const protocol::QuarantineDigest &message);
+
     // The other daemons. In gatewaycontrol_peers.cpp.
     void enter();
     void listPeers();
@@ -159,6 +168,8 @@
     std::map<std::string, core::PeerDaemon> m_peers;
     core::DaemonRanking m_ranking; ///< Of all daemons that this one knows of.
     core::PermitBroker m_permits;
+    core::QuarantineKeeper m_quarantines;
+    std::atomic<std::size_t> m_quarantineCount = 0; ///< For the metrics.
     boost::asio::steady_timer m_permitTimer;
     bool m_isWatchingPermits = false;
     core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -91,7 +91,8 @@
     if (peer.incarnation < known.incarnation || known == merged)
         return;
     known = merged;
-    m_ranking.add(peer.id);
+    if (m_ranking.add(peer.id))
+        m_quarantines.addDaemon(peer.id);
     m_events.record(Severity::Info, core::events::peerJoined,
                     "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
                         + " address=" + peer.address);
@@ -209,8 +210,10 @@
 
 void GatewayControl::heard(const std::string &from, const protocol::Hello &message)
 {
-    if (!message.isReply && m_hasEntered)
-        send(from, protocol::Hello{m_settings.peerAddress, true, m_settings.linkMbps});
+    if (message.isReply || !m_hasEntered)
+        return;
+    send(from, protocol::Hello{m_settings.peerAddress, true, m_settings.linkMbps});
+    carryOut(m_quarantines.daemonStarted(from, bootTime()), from);
 }
 
 void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
--- a/packages/daemon/src/gatewaymessages.h
+++ b/packages/daemon/src/gatewaymessages.h
@@ -38,7 +38,7 @@
 
 /// Control duty to traffic duty.
 using ToTraffic = std::variant<GatewayConfigUpdate, GatewayTargetsUpdate, GatewayOwnersUpdate, GatewayDaemonsUpdate,
-                               GatewayTargetNotice, core::PermitGrant>;
+                               GatewayTargetNotice, core::PermitGrant, core::Quarantine>;
 
 struct ServiceKeyLoad
 {
@@ -47,6 +47,7 @@
 };
 
 /// Traffic duty to control duty.
-using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused, core::TargetBelief, core::AskPermits>;
+using FromTraffic = std::variant<ServiceKeyLoad, core::OwnerRefused, core::TargetBelief, core::AskPermits,
+                                 core::TargetCrashed, core::QuarantineRefuted>;
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -46,6 +46,8 @@
         return "timed_out";
     case core::GatewayError::ResponseLost:
         return "answer_lost";
+    case core::GatewayError::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -288,6 +290,11 @@
     carryOut(m_router.permitsGranted(grant, bootTime()));
 }
 
+void GatewayTraffic::take(const core::Quarantine &quarantine)
+{
+    carryOut(m_router.quarantineChanged(quarantine, bootTime()));
+}
+
 void GatewayTraffic::handle(std::uint64_t id, http::Request request, std::shared_ptr<http::Responder> responder)
 {
     const core::Time now = bootTime();
@@ -297,6 +304,7 @@
     exchange.message = std::move(request);
     exchange.requestId = std::move(head.requestId);
     exchange.responder = std::move(responder);
+    exchange.fingerprint = head.request.fingerprint;
     exchange.arrived = now;
     if (head.request.key)
         exchange.route = " key=" + std::to_string(*head.request.key);
@@ -417,13 +425,15 @@
     Exchange exchange = std::move(found->second);
     m_exchanges.erase(found);
     const int status = statusOf(effect);
+    if (effect.error == core::GatewayError::Quarantined)
+        m_metrics.requestsQuarantined.Increment();
     (effect.mayHaveRun ? m_metrics.requestsUnknown : m_metrics.requestsNotRun).Increment();
     m_events.record(Severity::Info, core::events::gatewayRequestEnded,
                     "request=" + exchange.requestId + " end=" + nameOf(effect.error)
                         + " status=" + std::to_string(status) + " config=" + std::to_string(m_router.configVersion())
                         + " after_ms=" + std::to_string(milliseconds(bootTime() - exchange.arrived))
                         + " retry_after_ms=" + std::to_string(milliseconds(effect.retryAfter)) + " detail=\""
-                        + effect.detail + "\"" + exchange.route);
+                        + effect.detail + "\" fingerprint=" + toString(exchange.fingerprint) + exchange.route);
     http::Response response{status, {{"Content-Type", "text/plain"}}, std::string(nameOf(effect.error)) + "\n"};
     if (status == statusUnavailable && effect.retryAfter > core::Duration(0))
         response.headers.emplace_back("Retry-After", secondsText(effect.retryAfter));
@@ -455,6 +465,30 @@
     m_tellControl(effect); // A full ring loses it: the router asks again later.
 }
 
+void GatewayTraffic::act(const core::ProbeTarget &effect)
+{
+    m_client.connect(effect.address, [this, effect](http::ConnectOutcome outcome) {
+        const char *result = outcome == http::ConnectOutcome::Refused ? "refused"
+            : outcome == http::ConnectOutcome::Open                   ? "open"
+                                                                      : "failed";
+        m_events.record(Severity::Info, core::events::targetProbed,
+                        "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation)
+                            + " service=" + effect.service + " connection=" + result);
+        carryOut(
+            m_router.targetProbed(effect.service, effect.target, outcome == http::ConnectOutcome::Refused, bootTime()));
+    });
+}
+
+void GatewayTraffic::act(const core::TargetCrashed &effect)
+{
+    m_tellControl(effect); // A full ring loses it: the next crash counts again.
+}
+
+void GatewayTraffic::act(const core::QuarantineRefuted &effect)
+{
+    m_tellControl(effect); // A full ring loses it: so does the quarantine's end.
+}
+
 void GatewayTraffic::armTimer()
 {
     if (m_isTimerArmed)
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -65,6 +65,7 @@
         http::Request message;
         std::string requestId;
         std::shared_ptr<http::Responder> responder;
+        core::RequestFingerprint fingerprint;
         core::Time arrived{};
         std::string route; ///< The key, and the targets and ends of the attempts, for the log.
         std::map<std::uint32_t, http::Client::ExchangeId> sends; ///< By attempt.
@@ -82,6 +83,7 @@
     void take(const GatewayDaemonsUpdate &update);
     void take(const GatewayTargetNotice &update);
     void take(const core::PermitGrant &grant);
+    void take(const core::Quarantine &quarantine);
     void carryOut(const core::GatewayRouter::Effects &effects);
     void act(const core::SendToTarget &effect);
     void act(const core::CancelSend &effect);
@@ -90,6 +92,9 @@
     void act(const core::OwnerRefused &effect);
     void act(const core::TargetBelief &effect);
     void act(const core::AskPermits &effect);
+    void act(const core::ProbeTarget &effect);
+    void act(const core::TargetCrashed &effect);
+    void act(const core::QuarantineRefuted &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
                       const core::TargetIdentity &target, const http::ExchangeResult &end);
     void surveyTargets(core::Time now);
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -40,6 +40,9 @@
     , storeWrites(m_platformCalls.Add({{"call", "write"}}))
     , storeWatches(m_platformCalls.Add({{"call", "watch"}}))
     , listReads(m_platformCalls.Add({{"call", "list"}}))
+    , requestsQuarantined(counters(m_registry, "sardinehinge_requests_quarantined_total",
+                                   "Callers' requests that were rejected because targets that ran equal ones crashed")
+                              .Add({}))
     , permitsGranted(m_permits.Add({{"outcome", "granted"}}))
     , permitsDenied(m_permits.Add({{"outcome", "denied"}}))
 {
--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -22,6 +22,13 @@
     Complete, ///< The whole response was received.
 };
 
+/// How opening a connection ended.
+enum class ConnectOutcome {
+    Open,
+    Refused, ///< The peer's host refused it: no process accepts connections there.
+    Failed, ///< No answer in time, or another error.
+};
+
 /// The result of an exchange. `response` is only valid if `outcome` is Complete.
 struct ExchangeResult
 {
@@ -94,8 +101,8 @@
     ExchangeId send(const std::string &address, const Request &request, core::Duration timeout, Callback done);
     /// As above, with all options.
     ExchangeId send(const std::string &address, const Request &request, const ExchangeOptions &options, Callback done);
-    /// Opens a connection to `address` for later exchanges and calls `done` once, with whether it is open.
-    void connect(const std::string &address, std::function<void(bool)> done);
+    /// Opens a connection to `address` for later exchanges and calls `done` once.
+    void connect(const std::string &address, std::function<void(ConnectOutcome)> done);
     /// Closes the connection of the exchange. Its callback is still called, with the outcome so far. Unknown ids are
     /// ignored.
     void cancel(ExchangeId id);
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -375,24 +375,27 @@
     return id;
 }
 
-void Client::connect(const std::string &address, std::function<void(bool)> done)
+void Client::connect(const std::string &address, std::function<void(ConnectOutcome)> done)
 {
     const auto endpoint = internal::parseAddress(address);
     if (!endpoint)
-        return asio::post(m_state->context, [done = std::move(done)] { done(false); });
+        return asio::post(m_state->context, [done = std::move(done)] { done(ConnectOutcome::Failed); });
     auto stream = std::make_shared<Stream>(std::make_unique<beast::tcp_stream>(m_state->context));
     (*stream)->expires_after(m_state->limits.connectTimeout);
-    (*stream)->async_connect(*endpoint,
-                             [weak = std::weak_ptr(m_state), stream, address, done = std::move(done)](ErrorCode error) {
-                                 const auto state = weak.lock();
-                                 if (state && !error) {
-                                     ErrorCode ignored;
-                                     (*stream)->socket().set_option(tcp::no_delay(true), ignored);
-                                     (*stream)->expires_never();
-                                     state->addIdle(address, std::move(*stream), idleLifetime({}));
-                                 }
-                                 done(state && !error);
-                             });
+    (*stream)->async_connect(
+        *endpoint, [weak = std::weak_ptr(m_state), stream, address, done = std::move(done)](ErrorCode error) {
+            const auto state = weak.lock();
+            if (state && !error) {
+                ErrorCode ignored;
+                (*stream)->socket().set_option(tcp::no_delay(true), ignored);
+                (*stream)->expires_never();
+                state->addIdle(address, std::move(*stream), idleLifetime({}));
+            }
+            if (state && !error)
+                done(ConnectOutcome::Open);
+            else
+                done(error == asio::error::connection_refused ? ConnectOutcome::Refused : ConnectOutcome::Failed);
+        });
 }
 
 void Client::cancel(ExchangeId id)
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -555,9 +555,9 @@
         context.restart();
         context.run();
     };
-    std::vector<bool> opened;
+    std::vector<http::ConnectOutcome> opened;
     const auto connect = [&](const std::string &address) {
-        client.connect(address, [&](bool isOpen) { opened.push_back(isOpen); });
+        client.connect(address, [&](http::ConnectOutcome outcome) { opened.push_back(outcome); });
         context.restart();
         context.run();
     };
@@ -575,5 +575,6 @@
     connect("not an address");
     using Outcome = http::ExchangeOutcome;
     CHECK(outcomes == std::vector{Outcome::NoOpenConnection, Outcome::Complete});
-    CHECK(opened == std::vector{true, false, false});
+    using Connect = http::ConnectOutcome;
+    CHECK(opened == std::vector{Connect::Open, Connect::Refused, Connect::Failed});
 }
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -140,6 +140,35 @@
   8: i64 retryInUs,
 }
 
+struct Fingerprint {
+  1: i64 high,
+  2: i64 low,
+}
+
+struct CrashReport {
+  1: Fingerprint request,
+  2: string target,
+  3: i64 born,
+  4: i64 sentAgoMs,
+  5: i64 endedAgoMs,
+}
+
+struct Quarantine {
+  1: Fingerprint request,
+  2: i32 generation,
+  3: i64 evidenceAgeMs,
+  4: i64 timeLeftMs,
+}
+
+struct Quarantines {
+  1: list<Quarantine> entries,
+}
+
+struct QuarantineDigest {
+  1: i64 digest,
+  2: bool isReply,
+}
+
 struct Hello {
   1: string address,
   2: bool isReply,
@@ -163,4 +192,7 @@
   14: optional Leaving leaving,
   15: optional PermitRequest permitRequest,
   16: optional PermitGrant permitGrant,
+  17: optional CrashReport crashReport,
+  18: optional Quarantines quarantines,
+  19: optional QuarantineDigest quarantineDigest,
 }
--- a/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
+++ b/packages/protocol/include/sardinehinge/protocol/gatewaycodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/quarantinekeeper.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/result.h>
@@ -71,6 +72,23 @@
     bool operator==(const TargetChanges &) const = default;
 };
 
+/// Quarantines that another daemon may not know of.
+struct QuarantineMessage
+{
+    std::vector<core::Quarantine> entries; ///< QuarantineKeeper::maxEntries at most.
+
+    bool operator==(const QuarantineMessage &) const = default;
+};
+
+/// Finds out whether two daemons know the same quarantines.
+struct QuarantineDigest
+{
+    std::uint64_t digest = 0; ///< core::QuarantineList::digest().
+    bool isReply = false;
+
+    bool operator==(const QuarantineDigest &) const = default;
+};
+
 /// Makes a daemon known to another.
 struct Hello
 {
@@ -84,7 +102,8 @@
 using GatewayMessage
     = std::variant<core::RangeOwners, core::RangeOwnersChange, core::ControllerHeartbeat, core::ControllerHeartbeatAck,
                    core::ControllerResigned, OwnersWanted, LoadMessage, RefusedMessage, Hello, core::WatchNotice,
-                   TargetChanges, LeavingMessage, core::PermitRequest, core::PermitGrant>;
+                   TargetChanges, LeavingMessage, core::PermitRequest, core::PermitGrant, core::CrashReport,
+                   QuarantineMessage, QuarantineDigest>;
 
 /// A message and who sent it. The `from` fields of beats, resignations and notices are the sender's id.
 struct GatewayDatagram
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -41,6 +41,31 @@
     return microseconds >= -most && microseconds <= most;
 }
 
+std::int64_t toMilliseconds(core::Duration time) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::clamp(time, core::Duration(0), longestWait))
+        .count();
+}
+
+/// Whether it is a time from 0 to a day.
+bool isTime(std::int64_t milliseconds) noexcept
+{
+    return milliseconds >= 0 && milliseconds <= std::chrono::milliseconds(std::chrono::hours(24)).count();
+}
+
+gatewaywire::Fingerprint toWire(const core::RequestFingerprint &fingerprint)
+{
+    gatewaywire::Fingerprint out;
+    out.__set_high(toWire(fingerprint.high));
+    out.__set_low(toWire(fingerprint.low));
+    return out;
+}
+
+core::RequestFingerprint fromWire(const gatewaywire::Fingerprint &fingerprint) noexcept
+{
+    return {fromWire(fingerprint.high), fromWire(fingerprint.low)};
+}
+
 gatewaywire::FeedPosition toWire(const core::FeedPosition &position)
 {
     gatewaywire::FeedPosition out;
@@ -245,6 +270,40 @@
         out.__set_permitGrant(grant);
     }
 
+    void operator()(const core::CrashReport &message) const
+    {
+        gatewaywire::CrashReport report;
+        report.__set_request(toWire(message.request));
+        report.__set_target(message.target.id);
+        report.__set_born(toWire(message.target.incarnation));
+        report.__set_sentAgoMs(toMilliseconds(message.sentAgo));
+        report.__set_endedAgoMs(toMilliseconds(message.endedAgo));
+        out.__set_crashReport(report);
+    }
+
+    void operator()(const QuarantineMessage &message) const
+    {
+        gatewaywire::Quarantines quarantines;
+        for (const core::Quarantine &entry : message.entries) {
+            gatewaywire::Quarantine each;
+            each.__set_request(toWire(entry.request));
+            each.__set_generation(static_cast<std::int32_t>(entry.generation));
+            each.__set_evidenceAgeMs(toMilliseconds(entry.evidenceAge));
+            each.__set_timeLeftMs(toMilliseconds(entry.timeLeft));
+            quarantines.entries.push_back(each);
+        }
+        quarantines.__isset.entries = true;
+        out.__set_quarantines(quarantines);
+    }
+
+    void operator()(const QuarantineDigest &message) const
+    {
+        gatewaywire::QuarantineDigest digest;
+        digest.__set_digest(toWire(message.digest));
+        digest.__set_isReply(message.isReply);
+        out.__set_quarantineDigest(digest);
+    }
+
     void operator()(const Hello &message) const
     {
         gatewaywire::Hello hello;
@@ -366,12 +425,39 @@
                              std::chrono::microseconds(in.retryInUs)};
 }
 
+std::optional<GatewayMessage> readCrashReport(const gatewaywire::CrashReport &in)
+{
+    const core::RequestFingerprint request = fromWire(in.request);
+    if (!request.isSet() || in.target.empty() || !isTime(in.sentAgoMs) || !isTime(in.endedAgoMs))
+        return std::nullopt;
+    return core::CrashReport{request,
+                             {in.target, fromWire(in.born)},
+                             std::chrono::milliseconds(in.sentAgoMs),
+                             std::chrono::milliseconds(in.endedAgoMs)};
+}
+
+std::optional<GatewayMessage> readQuarantines(const gatewaywire::Quarantines &in)
+{
+    QuarantineMessage message;
+    if (in.entries.size() > core::QuarantineKeeper::maxEntries)
+        return std::nullopt;
+    for (const gatewaywire::Quarantine &entry : in.entries) {
+        const core::RequestFingerprint request = fromWire(entry.request);
+        if (!request.isSet() || entry.generation < 1 || !isTime(entry.evidenceAgeMs) || !isTime(entry.timeLeftMs))
+            return std::nullopt;
+        message.entries.push_back({request, static_cast<std::uint32_t>(entry.generation),
+                                   std::chrono::milliseconds(entry.evidenceAgeMs),
+                                   std::chrono::milliseconds(entry.timeLeftMs)});
+    }
+    return message;
+}
+
 std::optional<GatewayMessage> readMessage(const gatewaywire::Datagram &in)
 {
     const auto &isset = in.__isset;
     const int count = isset.owners + isset.beat + isset.resigned + isset.wanted + isset.load + isset.refused
         + isset.hello + isset.ack + isset.ownersChange + isset.watchNotice + isset.targetChanges + isset.leaving
-        + isset.permitRequest + isset.permitGrant;
+        + isset.permitRequest + isset.permitGrant + isset.crashReport + isset.quarantines + isset.quarantineDigest;
     if (count != 1)
         return std::nullopt;
     if (isset.owners)
@@ -412,6 +498,12 @@
         return isKey(in.refused.key) ? std::optional<GatewayMessage>(
                    RefusedMessage{in.refused.group, in.refused.target, static_cast<std::uint32_t>(in.refused.key)})
                                      : std::nullopt;
+    if (isset.crashReport)
+        return readCrashReport(in.crashReport);
+    if (isset.quarantines)
+        return readQuarantines(in.quarantines);
+    if (isset.quarantineDigest)
+        return QuarantineDigest{fromWire(in.quarantineDigest.digest), in.quarantineDigest.isReply};
     if (isset.permitRequest)
         return readPermitRequest(in.permitRequest);
     if (isset.permitGrant)
