--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -39,6 +39,9 @@
     bool operator==(const ExchangeResult &) const = default;
 };
 
+/// Whether `text` is an IP address and a port from 1 to 65535, as Client takes it.
+bool isPeerAddress(const std::string &text);
+
 /// Limits of a client.
 struct ClientLimits
 {
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -350,6 +350,12 @@
 
 } // namespace
 
+bool isPeerAddress(const std::string &text)
+{
+    const auto endpoint = internal::parseAddress(text);
+    return endpoint && endpoint->port() != 0;
+}
+
 Client::Client(asio::io_context &context, ClientLimits limits)
     : m_state(std::make_shared<State>(context, limits))
 {
