Test that cut responses and repeated refusals answer no request

A target that stops anywhere in its answer's head, or in a body with a length, and closes: the exchange never ends as complete (five answers, cut after each byte). An earlier refusal that a target writes once more on a kept connection, with the id of its request or with none: it is discarded, and the next request gets its own answer.

--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -578,3 +578,54 @@
     using Connect = http::ConnectOutcome;
     CHECK(opened == std::vector{Connect::Open, Connect::Refused, Connect::Failed});
 }
+
+TEST_CASE("A response that ends anywhere before its end isn't complete")
+{
+    const auto whole = GENERATE(values<std::string>({
+        "HTTP/1.1 200 OK\r\nId: mine\r\nServer: s\r\nContent-Length: 5\r\nX-Last: 1\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: mine\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nId: mine\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nServer: s\r\n\r\n", // Ends with the connection.
+    }));
+    INFO(whole);
+    boost::asio::io_context context;
+    http::ExchangeOptions options;
+    options.timeout = timeout;
+    options.acceptsCloseDelimited = true;
+    options.echoedHeader.emplace("Id", "mine");
+    for (std::size_t length = 0; length <= whole.size(); ++length) {
+        ScriptedPeer peer({"cut", true, whole.substr(0, length)});
+        http::Client client(context);
+        std::optional<http::ExchangeResult> end;
+        client.send(peer.address(), {"GET", "/", {}, {}, {}}, options,
+                    [&](const http::ExchangeResult &result) { end = result; });
+        context.restart();
+        context.run();
+        INFO("the first " << length << " bytes");
+        REQUIRE(end);
+        CHECK((end->outcome == http::ExchangeOutcome::Complete) == (length == whole.size()));
+    }
+}
+
+TEST_CASE("An earlier refusal that comes once more on a kept connection answers no other request")
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nId: first\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    const std::string unnamed = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: second\r\nContent-Length: 2\r\n\r\nok";
+    const auto copy = GENERATE_COPY(values<std::string>({refusal, unnamed}));
+    SequencePeer peer({refusal, copy + answer}, {answer});
+    boost::asio::io_context context;
+    http::Client client(context);
+    std::vector<int> statuses;
+    for (const char *id : {"first", "second"}) {
+        http::ExchangeOptions options;
+        options.timeout = timeout;
+        options.echoedHeader.emplace("Id", id);
+        client.send(peer.address(), {"POST", "/", {}, {}, {}}, options,
+                    [&](const http::ExchangeResult &end) { statuses.push_back(end.response.status); });
+        context.restart();
+        context.run();
+    }
+    CHECK(statuses == std::vector{503, 200});
+}
