Count the copies of a request that end with one target, too

Cause: only targets were counted. Three copies that end with one target are evidence, too, but weaker: whatever ended the target ended all of them, and a request that many callers make at once is often there.

Change: each daemon reports how many equal requests it had at the target. From three copies in all on the request is quarantined for a minute; an answer to an equal request up to 30 s before the crash lifts that at once, by any daemon that has read one, so requests that are made all the time are not held. Three targets in succession count as before: 10 minutes, and only an answer since the first of them lifts it. Lifting weak evidence doesn't forget the targets.

--- a/packages/core/include/sardinehinge/core/crashsuspects.h
+++ b/packages/core/include/sardinehinge/core/crashsuspects.h
@@ -34,6 +34,7 @@
     TargetIdentity target;
     Duration sentAgo = 0ms; ///< Since the request was sent to the target.
     Duration endedAgo = 0ms; ///< Since the request's connection closed.
+    std::uint32_t copies = 1; ///< Equal requests that the daemon had sent to the target.
 
     bool operator==(const CrashReport &) const = default;
 };
--- a/packages/core/include/sardinehinge/core/quarantine.h
+++ b/packages/core/include/sardinehinge/core/quarantine.h
@@ -16,11 +16,13 @@
 /// lost with it, which the other counting daemons make up for, and what is quarantined is known to all.
 namespace sardinehinge::core {
 
-/// Targets that must have ended with a request before it is quarantined.
+/// Targets that must have ended with a request before it is quarantined. Copies of it that ended with fewer targets are
+/// weaker evidence: something else may have ended the target.
 constexpr std::size_t crashesToQuarantine = 3;
 /// Daemons that count the crashes of one request.
 constexpr std::size_t crashCounters = 3;
 constexpr Duration quarantineTime = std::chrono::minutes(10);
+constexpr Duration quarantineTimeByWeakEvidence = std::chrono::minutes(1); ///< Until the next crash.
 
 /// That a request is quarantined, or isn't any more.
 struct Quarantine
@@ -40,16 +42,16 @@
 public:
     static constexpr Duration memory = quarantineTime; ///< Between two crashes of one request.
     static constexpr std::size_t maxRequests = 4096; ///< The one whose latest crash is oldest gives way.
-    /// If targets ended at the same time with copies of the request, something else may have ended all of them. Then
-    /// an answer shortly before clears the request, too.
-    static constexpr Duration answerTimeBeforeConcurrentCrashes = std::chrono::seconds(5);
+    /// With weak evidence (fewer targets, or targets that ended at the same time), an answer to an equal request so
+    /// shortly before the crashes clears the request, too.
+    static constexpr Duration answerTimeBeforeCrashes = std::chrono::seconds(30);
 
-    /// Counts a target once per request, and returns the request's crashes. `evidenceAge` and `timeLeft` of the
-    /// quarantine that follows from the third are in quarantine().
-    std::size_t add(const CrashReport &report, Time now);
+    /// Counts a target once per request, and its copies once per daemon that reports. Returns the number of targets.
+    std::size_t add(const CrashReport &report, const std::string &from, Time now);
     /// Returns the quarantine that the request's crashes justify, if there are enough.
     std::optional<Quarantine> quarantine(const RequestFingerprint &request, Time now) const;
-    /// Forgets the crashes of a request that has been cleared.
+    /// Forgets the crashes of a request that has been cleared. Of weak evidence, only the copies are forgotten: an
+    /// answer from before the crashes says nothing of targets that end later.
     void forget(const RequestFingerprint &request);
 
 private:
@@ -58,8 +60,11 @@
         TargetIdentity target;
         Time sentAt = 0ms;
         Time endedAt = 0ms;
+        std::map<std::string, std::uint32_t> copies; ///< By the daemon that had sent them.
     };
 
+    static bool isStrong(const std::vector<Crash> &crashes) noexcept;
+
     std::map<RequestFingerprint, std::vector<Crash>> m_crashes;
 };
 
--- a/packages/core/include/sardinehinge/core/quarantinekeeper.h
+++ b/packages/core/include/sardinehinge/core/quarantinekeeper.h
@@ -89,7 +89,7 @@
     /// Takes in a crash that this daemon saw.
     Effects crashed(const CrashReport &report, const DaemonRanking &ranking, Time now);
     /// Takes in a crash that another daemon reported.
-    Effects reported(const CrashReport &report, Time now);
+    Effects reported(const CrashReport &report, const std::string &from, Time now);
     /// Takes in that a target has answered a quarantined request.
     Effects refuted(const RequestFingerprint &request, Time now);
     /// Takes in another daemon's quarantines.
@@ -103,7 +103,7 @@
     std::size_t inForce() const noexcept { return m_list.inForce(); }
 
 private:
-    void count(const CrashReport &report, Time now);
+    void count(const CrashReport &report, const std::string &from, Time now);
     void spread(const Quarantine &quarantine, Time now);
     void sendAll(const std::string &to, Time now);
     std::vector<std::string> randomDaemons(std::size_t count);
--- a/packages/core/src/crashsuspects.cpp
+++ b/packages/core/src/crashsuspects.cpp
@@ -35,10 +35,14 @@
 {
     std::vector<CrashReport> reports;
     for (const Loss &loss : m_losses) {
-        const bool isReported = std::any_of(reports.begin(), reports.end(), [&loss](const CrashReport &report) {
+        if (loss.target != target || now - loss.lostAt > evidenceTime)
+            continue;
+        const auto reported = std::find_if(reports.begin(), reports.end(), [&loss](const CrashReport &report) {
             return report.request == loss.request;
         });
-        if (loss.target == target && now - loss.lostAt <= evidenceTime && !isReported)
+        if (reported != reports.end())
+            ++reported->copies;
+        else
             reports.push_back({loss.request, target, now - loss.sentAt, now - loss.lostAt});
     }
     std::erase_if(m_losses, [&target](const Loss &loss) { return loss.target == target; });
--- a/packages/core/src/quarantine.cpp
+++ b/packages/core/src/quarantine.cpp
@@ -6,8 +6,9 @@
 
 namespace sardinehinge::core {
 
-std::size_t CrashCounter::add(const CrashReport &report, Time now)
+std::size_t CrashCounter::add(const CrashReport &report, const std::string &from, Time now)
 {
+    constexpr std::size_t maxReporters = 16; ///< Of one crash; enough for every threshold.
     if (m_crashes.size() >= maxRequests && !m_crashes.contains(report.request)) {
         m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) {
             return a.second.back().endedAt < b.second.back().endedAt;
@@ -15,21 +16,21 @@
     }
     std::vector<Crash> &crashes = m_crashes[report.request];
     std::erase_if(crashes, [now](const Crash &crash) { return now - crash.endedAt > memory; });
-    const bool isKnown = std::any_of(crashes.begin(), crashes.end(),
-                                     [&report](const Crash &crash) { return crash.target == report.target; });
-    if (!isKnown)
-        crashes.push_back({report.target, now - report.sentAgo, now - report.endedAgo});
+    auto crash = std::find_if(crashes.begin(), crashes.end(),
+                              [&report](const Crash &each) { return each.target == report.target; });
+    if (crash == crashes.end())
+        crash = crashes.insert(crashes.end(), {report.target, now - report.sentAgo, now - report.endedAgo, {}});
+    if (crash->copies.size() < maxReporters)
+        crash->copies.try_emplace(from, report.copies);
     std::sort(crashes.begin(), crashes.end(), [](const Crash &a, const Crash &b) { return a.endedAt < b.endedAt; });
     return crashes.size();
 }
 
-std::optional<Quarantine> CrashCounter::quarantine(const RequestFingerprint &request, Time now) const
+/// Whether enough crashes followed each other: the request was sent again after the one before.
+bool CrashCounter::isStrong(const std::vector<Crash> &crashes) noexcept
 {
-    const auto found = m_crashes.find(request);
-    if (found == m_crashes.end() || found->second.size() < crashesToQuarantine)
-        return std::nullopt;
-    // Crashes that follow each other: the request was sent again after the one before.
-    const std::vector<Crash> &crashes = found->second;
+    if (crashes.empty())
+        return false;
     std::size_t successive = 1;
     Time latest = crashes.front().endedAt;
     for (const Crash &crash : crashes) {
@@ -38,15 +39,38 @@
         ++successive;
         latest = crash.endedAt;
     }
-    Duration evidenceAge = now - crashes.front().endedAt;
-    if (successive < crashesToQuarantine)
-        evidenceAge += answerTimeBeforeConcurrentCrashes;
-    return Quarantine{request, 1, evidenceAge, quarantineTime};
+    return successive >= crashesToQuarantine;
+}
+
+std::optional<Quarantine> CrashCounter::quarantine(const RequestFingerprint &request, Time now) const
+{
+    const auto found = m_crashes.find(request);
+    if (found == m_crashes.end() || found->second.empty())
+        return std::nullopt;
+    const std::vector<Crash> &crashes = found->second;
+    std::size_t copies = 0;
+    for (const Crash &crash : crashes) {
+        for (const auto &[daemon, count] : crash.copies)
+            copies += count;
+    }
+    if (crashes.size() < crashesToQuarantine && copies < crashesToQuarantine)
+        return std::nullopt;
+    const Duration age = now - crashes.front().endedAt;
+    if (isStrong(crashes))
+        return Quarantine{request, 1, age, quarantineTime};
+    return Quarantine{request, 1, age + answerTimeBeforeCrashes,
+                      crashes.size() < crashesToQuarantine ? quarantineTimeByWeakEvidence : quarantineTime};
 }
 
 void CrashCounter::forget(const RequestFingerprint &request)
 {
-    m_crashes.erase(request);
+    const auto found = m_crashes.find(request);
+    if (found == m_crashes.end())
+        return;
+    if (isStrong(found->second))
+        m_crashes.erase(found);
+    else
+        std::for_each(found->second.begin(), found->second.end(), [](Crash &crash) { crash.copies.clear(); });
 }
 
 bool QuarantineList::merge(const Quarantine &quarantine, Time now)
--- a/packages/core/src/quarantinekeeper.cpp
+++ b/packages/core/src/quarantinekeeper.cpp
@@ -24,7 +24,7 @@
 QuarantineKeeper::Effects QuarantineKeeper::crashed(const CrashReport &report, const DaemonRanking &ranking, Time now)
 {
     // Counted here, too: this daemon may see all crashes, and the others may be lost.
-    count(report, now);
+    count(report, m_self, now);
     for (const std::string &counter : ranking.firstFor(toString(report.request), crashCounters, now)) {
         if (counter != m_self)
             m_effects.emplace_back(SendCrashReport{counter, report});
@@ -32,15 +32,15 @@
     return takeEffects();
 }
 
-QuarantineKeeper::Effects QuarantineKeeper::reported(const CrashReport &report, Time now)
+QuarantineKeeper::Effects QuarantineKeeper::reported(const CrashReport &report, const std::string &from, Time now)
 {
-    count(report, now);
+    count(report, from, now);
     return takeEffects();
 }
 
-void QuarantineKeeper::count(const CrashReport &report, Time now)
+void QuarantineKeeper::count(const CrashReport &report, const std::string &from, Time now)
 {
-    m_effects.emplace_back(CrashCounted{report, m_counter.add(report, now)});
+    m_effects.emplace_back(CrashCounted{report, m_counter.add(report, from, now)});
     auto quarantine = m_counter.quarantine(report.request, now);
     if (!quarantine || m_list.cleared(report.request, now))
         return; // Too few crashes, or in force already.
--- a/packages/daemon/src/gatewaycontrol_quarantine.cpp
+++ b/packages/daemon/src/gatewaycontrol_quarantine.cpp
@@ -26,7 +26,7 @@
 
 void GatewayControl::heard(const std::string &from, const core::CrashReport &message)
 {
-    carryOut(m_quarantines.reported(message, bootTime()), from);
+    carryOut(m_quarantines.reported(message, from, bootTime()), from);
 }
 
 void GatewayControl::heard(const std::string &from, const protocol::QuarantineMessage &message)
@@ -53,6 +53,7 @@
             m_events.record(Severity::Warning, core::events::crashCounted,
                             "fingerprint=" + toString(counted->report.request) + " target=" + counted->report.target.id
                                 + " born=" + std::to_string(counted->report.target.incarnation)
+                                + " copies=" + std::to_string(counted->report.copies)
                                 + " crashes=" + std::to_string(counted->crashes)
                                 + " ended_ms_ago=" + milliseconds(counted->report.endedAgo) + " from=" + from);
         } else if (const auto *changed = std::get_if<core::QuarantineChanged>(&effect)) {
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -151,6 +151,7 @@
   3: i64 born,
   4: i64 sentAgoMs,
   5: i64 endedAgoMs,
+  6: i32 copies,
 }
 
 struct Quarantine {
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -18,6 +18,7 @@
 constexpr double mostSlowness = 1000;
 /// Bounds of permits in one message, and of the times with them.
 constexpr std::uint32_t mostWanted = 100'000;
+constexpr std::uint32_t mostCopies = 100'000;
 constexpr core::Duration longestWait = std::chrono::hours(24);
 
 std::int64_t toWire(std::uint64_t value) noexcept
@@ -278,6 +279,7 @@
         report.__set_born(toWire(message.target.incarnation));
         report.__set_sentAgoMs(toMilliseconds(message.sentAgo));
         report.__set_endedAgoMs(toMilliseconds(message.endedAgo));
+        report.__set_copies(static_cast<std::int32_t>(std::min(message.copies, mostCopies)));
         out.__set_crashReport(report);
     }
 
@@ -428,12 +430,14 @@
 std::optional<GatewayMessage> readCrashReport(const gatewaywire::CrashReport &in)
 {
     const core::RequestFingerprint request = fromWire(in.request);
-    if (!request.isSet() || in.target.empty() || !isTime(in.sentAgoMs) || !isTime(in.endedAgoMs))
+    if (!request.isSet() || in.target.empty() || !isTime(in.sentAgoMs) || !isTime(in.endedAgoMs) || in.copies < 1
+        || in.copies > static_cast<std::int32_t>(mostCopies))
         return std::nullopt;
     return core::CrashReport{request,
                              {in.target, fromWire(in.born)},
                              std::chrono::milliseconds(in.sentAgoMs),
-                             std::chrono::milliseconds(in.endedAgoMs)};
+                             std::chrono::milliseconds(in.endedAgoMs),
+                             static_cast<std::uint32_t>(in.copies)};
 }
 
 std::optional<GatewayMessage> readQuarantines(const gatewaywire::Quarantines &in)
