--- a/packages/core/include/sardinehinge/core/crashsuspects.h
+++ b/packages/core/include/sardinehinge/core/crashsuspects.h
@@ -40,8 +40,8 @@
 };
 
 /// What one daemon saw of requests whose response was lost. A lost response alone says little: connections break, and
-/// targets in trouble close them. Only the end of the target's process makes its requests suspects, all of them; the
-/// innocent ones are answered when they are sent again. Does no I/O.
+/// overloaded targets close them. Only the end of the target's process makes its requests suspects, all of them; those
+/// that didn't cause it are answered when they are sent again. Does no I/O.
 class CrashSuspects
 {
 public:
@@ -59,7 +59,7 @@
     bool lost(const RequestFingerprint &request, const TargetIdentity &target, Time sentAt, Time now);
     /// Records that the target's process has ended. Returns a report for each request that it had.
     std::vector<CrashReport> targetEnded(const TargetIdentity &target, Time now);
-    /// Records that a target answered the request, which clears it.
+    /// Records that a target answered the request, which ends the suspicion.
     void answered(const RequestFingerprint &request, Time now);
     /// Whether a response to the request was lost, and none came since.
     bool isSuspect(const RequestFingerprint &request, Time now) const;
--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -135,7 +135,7 @@
     bool operator==(const TargetCrashed &) const = default;
 };
 
-/// Reports that a target has answered a quarantined request, which clears it.
+/// Reports that a target has answered a quarantined request, which refutes the quarantine.
 struct QuarantineRefuted
 {
     RequestFingerprint request;
--- a/packages/core/include/sardinehinge/core/quarantine.h
+++ b/packages/core/include/sardinehinge/core/quarantine.h
@@ -6,14 +6,14 @@
 #include <optional>
 #include <vector>
 
-/// Keeps requests that crash the targets that run them from all targets.
+/// Keeps crash-inducing requests from all targets.
 ///
 /// A few daemons by request, found by DaemonRanking, count the targets that ended while they had the request, whichever
-/// daemons saw it. After the third the request is quarantined, and that spreads from daemon to daemon (rumour mongering
-/// and anti-entropy; Demers et al., 1987), so that it costs a daemon the same whatever the size of the fleet. No daemon
-/// sends a quarantined request to a target until its time is over, or until a daemon reports that a target has answered
-/// it since: a request that was only near several crashes is not guilty. Nothing is stored: what a daemon counted is
-/// lost with it, which the other counting daemons make up for, and what is quarantined is known to all.
+/// daemons reported it. After the third the request is quarantined. Quarantines spread from daemon to daemon (rumour
+/// mongering and anti-entropy; Demers et al., 1987), at a cost for each daemon that doesn't grow with the fleet. No
+/// daemon sends a quarantined request to a target until its time is over, or until a daemon reports that a target has
+/// answered it since: then something else ended the targets. Nothing is stored: counts are lost with their daemon,
+/// but others count, too, and all daemons know the quarantines.
 namespace sardinehinge::core {
 
 /// Targets that must have ended with a request before it is quarantined. Copies of it that ended with fewer targets are
@@ -28,8 +28,8 @@
 struct Quarantine
 {
     RequestFingerprint request;
-    std::uint32_t generation = 1; ///< Rises with each change; the highest counts. Odd: in force; even: it was cleared.
-    Duration evidenceAge = 0ms; ///< Since the first crash counted: an answer of a target since then clears the request.
+    std::uint32_t generation = 1; ///< Rises with each change; the highest counts. Odd: in force; even: it was lifted.
+    Duration evidenceAge = 0ms; ///< Since the first crash counted: an answer since then refutes the quarantine.
     Duration timeLeft = 0ms;
 
     bool isInForce() const noexcept { return generation % 2 == 1; }
@@ -43,15 +43,15 @@
     static constexpr Duration memory = quarantineTime; ///< Between two crashes of one request.
     static constexpr std::size_t maxRequests = 4096; ///< The one whose latest crash is oldest gives way.
     /// With weak evidence (fewer targets, or targets that ended at the same time), an answer to an equal request so
-    /// shortly before the crashes clears the request, too.
+    /// shortly before the crashes refutes the quarantine, too.
     static constexpr Duration answerTimeBeforeCrashes = std::chrono::seconds(30);
 
     /// Counts a target once per request, and its copies once per daemon that reports. Returns the number of targets.
     std::size_t add(const CrashReport &report, const std::string &from, Time now);
     /// Returns the quarantine that the request's crashes justify, if there are enough.
     std::optional<Quarantine> quarantine(const RequestFingerprint &request, Time now) const;
-    /// Forgets the crashes of a request that has been cleared. Of weak evidence, only the copies are forgotten: an
-    /// answer from before the crashes says nothing of targets that end later.
+    /// Forgets the crashes of a request whose quarantine was refuted. Of weak evidence, only the copies are forgotten:
+    /// an answer from before the crashes says nothing of targets that end later.
     void forget(const RequestFingerprint &request);
 
 private:
@@ -77,8 +77,8 @@
 
     /// Takes in a quarantine. Returns whether it is news.
     bool merge(const Quarantine &quarantine, Time now);
-    /// Returns the quarantine that clears the request, or nothing if none is in force.
-    std::optional<Quarantine> cleared(const RequestFingerprint &request, Time now) const;
+    /// Returns the entry that lifts the request's quarantine, or nothing if none is in force.
+    std::optional<Quarantine> lifted(const RequestFingerprint &request, Time now) const;
     /// Returns the generation that a new quarantine of the request has.
     std::uint32_t nextGeneration(const RequestFingerprint &request) const;
     std::vector<Quarantine> all(Time now) const;
--- a/packages/core/include/sardinehinge/core/quarantinekeeper.h
+++ b/packages/core/include/sardinehinge/core/quarantinekeeper.h
@@ -39,7 +39,7 @@
     bool operator==(const SendQuarantineDigest &) const = default;
 };
 
-/// A quarantine began, or was cleared. For this daemon's router, and the log.
+/// A quarantine began, or was lifted. For this daemon's router, and the log.
 struct QuarantineChanged
 {
     Quarantine quarantine;
@@ -93,10 +93,10 @@
     /// Takes in that a target has answered a quarantined request.
     Effects refuted(const RequestFingerprint &request, Time now);
     /// Takes in another daemon's quarantines.
-    Effects told(const std::vector<Quarantine> &quarantines, Time now);
+    Effects received(const std::vector<Quarantine> &quarantines, Time now);
     /// Takes in another daemon's digest.
     Effects compared(const std::string &from, std::uint64_t digest, bool isReply, Time now);
-    /// Takes in that a daemon has started. A few of all daemons tell it what they know.
+    /// Takes in that a daemon has started. A few of all daemons send it the quarantines.
     Effects daemonStarted(const std::string &daemon, Time now);
     /// Call it several times a second.
     Effects tick(Time now);
--- a/packages/core/include/sardinehinge/core/ratepermits.h
+++ b/packages/core/include/sardinehinge/core/ratepermits.h
@@ -34,7 +34,7 @@
     double rate = 0; ///< Requests a second that the target accepts from all daemons, as the sender knows it.
     std::uint32_t wanted = 1; ///< 0: only whether the coordinator answers is wanted.
     Duration maxWait = 0ms; ///< Permits that can be used only after this time are not wanted.
-    std::uint64_t number = 0; ///< Tells the requests of one daemon for one target apart.
+    std::uint64_t number = 0; ///< Distinguishes the requests of one daemon for one target.
 
     bool operator==(const PermitRequest &) const = default;
 };
--- a/packages/core/src/quarantine.cpp
+++ b/packages/core/src/quarantine.cpp
@@ -89,14 +89,14 @@
     return true;
 }
 
-std::optional<Quarantine> QuarantineList::cleared(const RequestFingerprint &request, Time now) const
+std::optional<Quarantine> QuarantineList::lifted(const RequestFingerprint &request, Time now) const
 {
     const auto found = m_entries.find(request);
     if (found == m_entries.end() || found->second.generation % 2 == 0 || now >= found->second.end)
         return std::nullopt;
-    Quarantine cleared = toQuarantine(request, found->second, now);
-    ++cleared.generation;
-    return cleared;
+    Quarantine lifted = toQuarantine(request, found->second, now);
+    ++lifted.generation;
+    return lifted;
 }
 
 std::uint32_t QuarantineList::nextGeneration(const RequestFingerprint &request) const
--- a/packages/core/src/quarantinekeeper.cpp
+++ b/packages/core/src/quarantinekeeper.cpp
@@ -42,7 +42,7 @@
 {
     m_effects.emplace_back(CrashCounted{report, m_counter.add(report, from, now)});
     auto quarantine = m_counter.quarantine(report.request, now);
-    if (!quarantine || m_list.cleared(report.request, now))
+    if (!quarantine || m_list.lifted(report.request, now))
         return; // Too few crashes, or in force already.
     quarantine->generation = m_list.nextGeneration(report.request);
     spread(*quarantine, now);
@@ -62,12 +62,12 @@
 
 QuarantineKeeper::Effects QuarantineKeeper::refuted(const RequestFingerprint &request, Time now)
 {
-    if (const auto cleared = m_list.cleared(request, now))
-        spread(*cleared, now);
+    if (const auto lifted = m_list.lifted(request, now))
+        spread(*lifted, now);
     return takeEffects();
 }
 
-QuarantineKeeper::Effects QuarantineKeeper::told(const std::vector<Quarantine> &quarantines, Time now)
+QuarantineKeeper::Effects QuarantineKeeper::received(const std::vector<Quarantine> &quarantines, Time now)
 {
     for (const Quarantine &quarantine : quarantines)
         spread(quarantine, now);
--- a/packages/core/tests/quarantine_test.cpp
+++ b/packages/core/tests/quarantine_test.cpp
@@ -293,10 +293,10 @@
                      [this, report = report->report, from = nameOf(daemon.index)](Daemon &to) {
                          take(to, to.keeper.reported(report, from, m_now));
                      });
-            } else if (const auto *told = std::get_if<SendQuarantines>(&effect)) {
+            } else if (const auto *sent = std::get_if<SendQuarantines>(&effect)) {
                 if (m_setup.fault != PlantedFault::SpreadsNothing)
-                    send(daemon.index, told->to,
-                         [this, entries = told->entries](Daemon &to) { take(to, to.keeper.told(entries, m_now)); });
+                    send(daemon.index, sent->to,
+                         [this, entries = sent->entries](Daemon &to) { take(to, to.keeper.received(entries, m_now)); });
             } else if (const auto *digest = std::get_if<SendQuarantineDigest>(&effect)) {
                 send(daemon.index, digest->to, [this, digest = *digest, from = nameOf(daemon.index)](Daemon &to) {
                     take(to, to.keeper.compared(from, digest.digest, digest.isReply, m_now));
@@ -456,7 +456,7 @@
     CHECK(quarantined > 100);
 }
 
-TEST_CASE("Only the end of its process makes a target's requests suspects, and an answer clears them")
+TEST_CASE("Only the end of its process makes a target's requests suspects, and an answer ends that")
 {
     const RequestFingerprint request{1, 1};
     const TargetIdentity target{"t", 1};
@@ -523,7 +523,7 @@
     {
         CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, "d", now + CrashCounter::memory) == 1);
     }
-    SECTION("cleared")
+    SECTION("refuted")
     {
         CHECK(counter.add({request, {"b", 1}, 1s, 900ms}, "d", now) == 3);
         counter.forget(request);
@@ -558,17 +558,17 @@
     CHECK(list.merge(begun, 10s));
     CHECK_FALSE(list.merge(begun, 11s));
     CHECK(list.inForce() == 1);
-    const auto cleared = list.cleared(request, 12s);
-    REQUIRE(cleared);
-    CHECK_FALSE(cleared->isInForce());
+    const auto lifted = list.lifted(request, 12s);
+    REQUIRE(lifted);
+    CHECK_FALSE(lifted->isInForce());
     QuarantineList other;
-    CHECK(other.merge(*cleared, 12s));
+    CHECK(other.merge(*lifted, 12s));
     CHECK_FALSE(other.merge(begun, 12s));
     CHECK(other.digest(12s) != list.digest(12s));
-    CHECK(list.merge(*cleared, 12s));
+    CHECK(list.merge(*lifted, 12s));
     CHECK(other.digest(12s) == list.digest(12s));
     CHECK(list.inForce() == 0);
-    CHECK_FALSE(list.cleared(request, 12s));
+    CHECK_FALSE(list.lifted(request, 12s));
     CHECK(list.nextGeneration(request) == 3);
     CHECK(list.merge({request, 3, 1s, 5s}, 13s));
     CHECK(list.expire(17s).empty());
--- a/packages/daemon/src/gatewaycontrol_quarantine.cpp
+++ b/packages/daemon/src/gatewaycontrol_quarantine.cpp
@@ -31,7 +31,7 @@
 
 void GatewayControl::heard(const std::string &from, const protocol::QuarantineMessage &message)
 {
-    carryOut(m_quarantines.told(message.entries, bootTime()), from);
+    carryOut(m_quarantines.received(message.entries, bootTime()), from);
 }
 
 void GatewayControl::heard(const std::string &from, const protocol::QuarantineDigest &message)
