--- a/packages/core/tests/ratelimit_test.cpp
+++ b/packages/core/tests/ratelimit_test.cpp
@@ -104,7 +104,7 @@
     }
 
     /// Requests that targets served in this time, as a share of what their limits allow. A daemon's requests before it
-    /// has heard of a limit can be left out.
+    /// knows of a limit can be left out.
     double utilisation(Time from, Time to, bool isAll = true) const
     {
         double served = 0;
@@ -518,7 +518,7 @@
     {
         CHECK(broker.granted({"s", {name, 1}, 1, 1, 0ms, 1ms, 0ms}).empty());
     }
-    SECTION("a coordinator that is heard again is asked again")
+    SECTION("a coordinator that responds again is asked again")
     {
         ranking.heard(asked.back(), now);
         const auto again = broker.wanted(request, ranking, now);
