--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,4 +7,8 @@
   echo "not built: run the build command of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec timeout --signal=KILL 120 "$program" "$folder/record.txt"
+# Daemons end with the driver, also when it is killed. Anything but a verdict means that the case couldn't run.
+timeout --signal=KILL 110 "$program" "$folder/record.txt"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
