Keep a configuration in force when a part of it can't be read

Cause: decodeConfig() refused a whole configuration for one field. The route type "download" made every daemon of such a deployment answer 503 to all requests (E601). Ruled out: taking the unreadable route from the version before (mixes versions, revives dropped routes); 404 (denies a route that exists); falling through to a shorter prefix (may lead to another service).

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -68,6 +68,7 @@
 constexpr std::uint32_t targetEntryOutdated = 626;
 constexpr std::uint32_t rangeRestoreNeeded = 627;
 constexpr std::uint32_t callerConnectionClosed = 628;
+constexpr std::uint32_t gatewayConfigPartRefused = 629;
 constexpr std::uint32_t targetBeliefBegan = 630;
 constexpr std::uint32_t targetBeliefEnded = 631;
 constexpr std::uint32_t targetLeavingTold = 632;
--- a/packages/core/include/sardinehinge/core/gatewayconfig.h
+++ b/packages/core/include/sardinehinge/core/gatewayconfig.h
@@ -33,6 +33,8 @@
                                    ///< NothingSent may exceed it.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     std::vector<WeightedService> services;
+    bool isUnreadable = false; ///< The rest of its entry could not be read: matching requests are rejected as not run,
+                               ///< rather than served by a route with a shorter prefix.
 
     bool operator==(const RouteRule &) const = default;
 };
@@ -65,6 +67,7 @@
     std::vector<RouteRule> routes;
     std::vector<BackendService> services;
     CallerLimits callerLimits;
+    std::vector<std::string> faults; ///< Parts that could not be read, for operators. The rest is in force.
 
     bool operator==(const GatewayConfig &) const = default;
 };
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -103,6 +103,12 @@
         return takeEffects();
     }
     request.route = std::make_shared<const RouteRule>(*route);
+    if (route->isUnreadable) {
+        reject(request, GatewayError::NoConfiguration,
+               "this route cannot be read in configuration " + std::to_string(*m_configVersion),
+               retryAfter(request, 500ms));
+        return takeEffects();
+    }
     if (const Time end = quarantineEnd(head.fingerprint, now); end != 0ms) {
         rejectQuarantined(request, end, now);
         return takeEffects();
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -179,6 +179,12 @@
     if (entry.value->version <= m_configVersion)
         return;
     m_configVersion = entry.value->version;
+    constexpr std::size_t maxLoggedFaults = 16; ///< Of one configuration, so that the log stays bounded.
+    const auto &faults = entry.value->faults;
+    for (std::size_t index = 0; index < std::min(faults.size(), maxLoggedFaults); ++index)
+        m_events.record(Severity::Warning, core::events::gatewayConfigPartRefused,
+                        "object=" + entry.name + " version=" + std::to_string(m_configVersion)
+                            + " faults=" + std::to_string(faults.size()) + " reason=\"" + faults[index] + "\"");
     for (const core::BackendService &service : entry.value->services) {
         if (service.isSharded)
             serviceOf(service.name);
