Start a fleet without a watch on the store from every daemon

Ruled out: a longer wait of the first watch (a change is then as late as the wait, and each daemon still calls). Change: a daemon that has just listed everything waits up to 1.3 s for the first notice. Daemons with a fast link take their turn first, since the others will read changes from them. The platform's registry of daemons can be listed from an older copy.

--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -35,6 +35,9 @@
         = std::chrono::milliseconds(300); ///< Between notices without a change; a change is sent immediately.
     Duration replacementDelay = std::chrono::milliseconds(200); ///< Minimum delay before a missing watcher is replaced.
     Duration replacementSpread = std::chrono::milliseconds(1000); ///< Added by rank, so that few daemons do it at once.
+    /// A daemon that has just started, and so has just listed everything, waits this long for a first notice before it
+    /// watches on its own: a fleet that starts at once would otherwise call the store once a daemon.
+    Duration firstNoticeDelay = std::chrono::milliseconds(1300); ///< Above the longest delay of a replacement.
     Duration stepDownDelay = std::chrono::seconds(2); ///< A surplus watcher may still be needed after a loss.
 
     bool operator==(const RosterTiming &) const = default;
@@ -55,7 +58,9 @@
         Following, ///< Calls the store when a notice shows a change.
     };
 
-    WatchRoster(std::string self, Time now, RosterTiming timing = {});
+    /// `linkMbps`: bandwidth of this daemon's link; 0: not known. Others read changes from a watching daemon, so those
+    /// with a fast link offer themselves first.
+    WatchRoster(std::string self, Time now, RosterTiming timing = {}, std::uint32_t linkMbps = 0);
 
     /// Records that the store answered this daemon's watch or list of configurations or targets.
     void configsAnswered(Time now) noexcept { m_configsAnsweredAt = now; }
@@ -72,19 +77,29 @@
     std::optional<WatchNotice> takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now);
 
 private:
+    enum class Link { Unknown, Narrow, Fast };
+
     Time answeredAt() const noexcept { return std::min(m_configsAnsweredAt, m_targetsAnsweredAt); }
     bool isFresh(Time confirmedAt, Time now) const noexcept
     {
         return now - confirmedAt <= m_timing.confirmationLifetime;
     }
     bool isReplacementDue(Time now) const noexcept;
+    /// Whether no notice has come yet, but may still come.
+    bool isAwaitingFirstNotice(Time now) const noexcept
+    {
+        return !m_hasNotice && now - m_startedAt < m_timing.firstNoticeDelay;
+    }
     void dropStale(Time now);
 
     std::string m_self;
     RosterTiming m_timing;
     StoreEra m_era = 0; ///< The latest known.
     std::uint64_t m_rank = 0; ///< Surplus watchers with the highest rank step down.
-    Mode m_mode = Mode::Standalone;
+    Link m_link = Link::Unknown;
+    Time m_startedAt = 0ms;
+    bool m_hasNotice = false; ///< Another daemon has sent one.
+    Mode m_mode = Mode::Following;
     Time m_configsAnsweredAt = Time::min() / 2;
     Time m_targetsAnsweredAt = Time::min() / 2;
     std::map<std::string, Time> m_watchers; ///< Time of the store's latest known answer to each other watcher.
--- a/packages/core/src/watchroster.cpp
+++ b/packages/core/src/watchroster.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// From this bandwidth on, changes of a grown configuration reach a hundred daemons within a second.
+constexpr std::uint32_t fastLinkMbps = 100;
+
 /// FNV-1a hash with its halves swapped.
 std::uint64_t rankOf(const std::string &daemon) noexcept
 {
@@ -31,10 +34,14 @@
     return timing;
 }
 
-WatchRoster::WatchRoster(std::string self, Time now, RosterTiming timing)
+WatchRoster::WatchRoster(std::string self, Time now, RosterTiming timing, std::uint32_t linkMbps)
     : m_self(std::move(self))
     , m_timing(timing)
     , m_rank(rankOf(m_self))
+    , m_link(linkMbps == 0                 ? Link::Unknown
+                 : linkMbps < fastLinkMbps ? Link::Narrow
+                                           : Link::Fast)
+    , m_startedAt(now)
     , m_nextNotice(now)
 {
 }
@@ -51,6 +58,7 @@
 {
     if (notice.from == m_self || notice.age < Duration(0) || std::min(notice.configs.era, notice.targets.era) < m_era)
         return;
+    m_hasNotice = true;
     const auto [found, isNew] = m_watchers.try_emplace(notice.from, now - notice.age);
     if (!isNew)
         found->second = std::max(found->second, now - notice.age);
@@ -65,8 +73,10 @@
 bool WatchRoster::isReplacementDue(Time now) const noexcept
 {
     constexpr std::uint64_t parts = 1000;
-    const auto turn = m_timing.replacementSpread * static_cast<Duration::rep>((m_rank >> 32) % parts)
-        / static_cast<Duration::rep>(parts);
+    // Daemons with a fast link come first.
+    const std::uint64_t own = (m_rank >> 32) % parts;
+    const std::uint64_t part = m_link == Link::Unknown ? own : (own / 2) + (m_link == Link::Narrow ? parts / 2 : 0);
+    const auto turn = m_timing.replacementSpread * static_cast<Duration::rep>(part) / static_cast<Duration::rep>(parts);
     return m_shortageSince && now - *m_shortageSince >= m_timing.replacementDelay + turn;
 }
 
@@ -97,7 +107,7 @@
     case Mode::Following:
         if (isReplacementDue(now) && isSelfFresh)
             m_mode = Mode::Watching;
-        else if (isReplacementDue(now) || others == 0)
+        else if (isReplacementDue(now) || (others == 0 && !isAwaitingFirstNotice(now)))
             m_mode = Mode::Standalone; // Check that the store answers before notifying others.
         else
             m_mode = Mode::Following;
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -104,7 +104,7 @@
     }))
     , m_self{settings.id, 0}
     , m_registry(registryTiming(settings))
-    , m_roster(settings.id, bootTime(), rosterTiming(settings))
+    , m_roster(settings.id, bootTime(), rosterTiming(settings), settings.linkMbps)
     , m_ranking(settings.id)
     , m_quarantines(settings.id, std::random_device()())
     , m_permitTimer(m_worker.context())
@@ -138,6 +138,9 @@
         return listening;
     receive();
     boost::asio::post(m_worker.context(), [this] {
+        // The roster decides who keeps calls waiting at the store.
+        m_configs.setWatching(false);
+        m_targetFeed.setWatching(false);
         m_configs.start();
         m_targetFeed.start();
         enter();
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -96,6 +96,8 @@
 class PeerRegistry : public Feed<core::PeerDaemon>
 {
 public:
+    /// As list(), but the answer may be some seconds old, which costs the store less.
+    virtual void listOutdated(const std::string &after, Callback done) = 0;
     /// Enters this daemon. With an incarnation of 0 it is a new one: the reply's is larger than that of every earlier
     /// life under the same id. Otherwise the entry is written again under that incarnation, if the store has lost it.
     virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t incarnation)> done)
