Count a target's silent end against its requests, too

Cause: only a connection that closed before the whole response made a loss. tick() ended a request at its deadline without noting it, and callerLeft() forgot an idempotent one, so a target whose host falls silent left no evidence, although its entry vanished within 10 s.

A request remembers the incarnation that it was sent to: a close that came after a replacement was put down to the successor.

Tests: CrashWorld draws crashes in silence, callers that leave, and hosts that refuse nothing, also with keys, lossy datagrams and killed daemons; a crash whose only witness is killed before the entry vanishes isn't counted there.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -282,6 +282,7 @@
         bool isQueued = false;
         bool mayHaveRun = false;
         std::string target; ///< Of the last attempt.
+        std::uint64_t incarnation = 0; ///< Of that target.
         std::string lastFailure;
         AttemptEnd lastEnd = AttemptEnd::Answered;
         bool wasSuspect = false; ///< A response to an equal request had been lost before.
@@ -292,7 +293,7 @@
     {
         RequestFingerprint fingerprint;
         std::string service;
-        std::string target;
+        TargetIdentity target;
         Time sentAt = 0ms;
     };
 
@@ -333,10 +334,11 @@
     /// When the request's quarantine ends; 0 if it isn't quarantined.
     Time quarantineEnd(const RequestFingerprint &fingerprint, Time now) const noexcept;
     void rejectQuarantined(Request &request, Time end, Time now);
-    void responseLost(const RequestFingerprint &fingerprint, const std::string &service, const std::string &target,
+    void responseLost(const RequestFingerprint &fingerprint, const std::string &service, const TargetIdentity &target,
                       Time sentAt, Time now);
-    void responseRead(const RequestFingerprint &fingerprint, Time now);
-    void targetEnded(const TargetIdentity &target, Time now);
+    void responseRead(const RequestFingerprint &fingerprint, const TargetIdentity &target, Time sentAt, Time now);
+    void stoppedWaiting(const Request &request, TargetLoss loss, Time now);
+    void targetEnded(const std::string &service, const TargetIdentity &target, LifeEnd end, Time now);
     void noteEnd(Request &request, const GatewayAttemptEnd &end, Time now);
     void abandonedAttemptEnded(const GatewayAttemptEnd &end, Time now);
     void dispatch(Request &request, Time now);
--- a/packages/core/src/crashsuspects.cpp
+++ b/packages/core/src/crashsuspects.cpp
@@ -15,13 +15,24 @@
     return text.data();
 }
 
-bool CrashSuspects::lost(const RequestFingerprint &request, const TargetIdentity &target, Time sentAt, Time now)
+bool areCopies(const CrashReport &one, const CrashReport &other) noexcept
+{
+    const auto isNear = [](Duration first, Duration second) { return std::chrono::abs(first - second) <= copyGap; };
+    return isNear(one.sentAgo, other.sentAgo) || isNear(one.endedAgo, other.endedAgo);
+}
+
+bool CrashSuspects::lost(const RequestFingerprint &request, const TargetIdentity &target, Time sentAt, Time now,
+                         TargetLoss loss)
 {
     if (!request.isSet())
         return false;
+    if (isSilent(loss)) {
+        addSilent({request, target, sentAt, now, loss}, now);
+        return false;
+    }
     while (!m_losses.empty() && (now - m_losses.front().lostAt > evidenceTime || m_losses.size() >= maxLosses))
         m_losses.pop_front();
-    m_losses.push_back({request, target, sentAt, now});
+    m_losses.push_back({request, target, sentAt, now, loss});
     if (m_suspects.size() >= maxSuspects) {
         m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
                                           [](const auto &a, const auto &b) { return a.second < b.second; }));
@@ -31,21 +42,47 @@
     return m_probed.try_emplace(target, now).second;
 }
 
-std::vector<CrashReport> CrashSuspects::targetEnded(const TargetIdentity &target, Time now)
+void CrashSuspects::addSilent(const Loss &loss, Time now)
+{
+    const auto isOfTarget = [&loss](const Loss &other) { return other.target == loss.target; };
+    while (!m_silent.empty() && (now - m_silent.front().lostAt > evidenceTime || m_silent.size() >= maxSilent))
+        m_silent.pop_front();
+    if (std::count_if(m_silent.begin(), m_silent.end(), isOfTarget) >= static_cast<std::ptrdiff_t>(maxSilentOfTarget))
+        m_silent.erase(std::find_if(m_silent.begin(), m_silent.end(), isOfTarget));
+    m_silent.push_back(loss);
+}
+
+/// An answer to an earlier request may have been under way when the target ended, so only a later one counts.
+void CrashSuspects::targetAnswered(const TargetIdentity &target, Time sentAt)
+{
+    std::erase_if(m_silent,
+                  [&target, sentAt](const Loss &loss) { return loss.target == target && sentAt >= loss.lostAt; });
+}
+
+void CrashSuspects::report(const Loss &loss, Time now, std::vector<CrashReport> &reports)
+{
+    // A request that still waits: from when on its silence says something.
+    const Time endedAt = loss.loss == TargetLoss::Waiting ? std::min(now, loss.sentAt + minWaitAtEnd) : loss.lostAt;
+    const CrashReport single{loss.request, loss.target, now - loss.sentAt, now - endedAt};
+    const auto reported = std::find_if(reports.begin(), reports.end(),
+                                       [&loss](const CrashReport &report) { return report.request == loss.request; });
+    if (reported == reports.end())
+        reports.push_back(single);
+    else if (areCopies(*reported, single))
+        ++reported->copies;
+}
+
+std::vector<CrashReport> CrashSuspects::targetEnded(const TargetIdentity &target, LifeEnd end, Time now)
 {
     std::vector<CrashReport> reports;
-    for (const Loss &loss : m_losses) {
-        if (loss.target != target || now - loss.lostAt > evidenceTime)
-            continue;
-        const auto reported = std::find_if(reports.begin(), reports.end(), [&loss](const CrashReport &report) {
-            return report.request == loss.request;
-        });
-        if (reported != reports.end())
-            ++reported->copies;
-        else
-            reports.push_back({loss.request, target, now - loss.sentAt, now - loss.lostAt});
+    for (std::deque<Loss> *losses : {&m_losses, &m_silent}) {
+        for (const Loss &loss : *losses) {
+            if (loss.target == target && now - loss.lostAt <= evidenceTime
+                && isEvidence(loss.loss, end, now - loss.sentAt))
+                report(loss, now, reports);
+        }
+        std::erase_if(*losses, [&target](const Loss &loss) { return loss.target == target; });
     }
-    std::erase_if(m_losses, [&target](const Loss &loss) { return loss.target == target; });
     return reports;
 }
 
@@ -55,6 +92,7 @@
         return;
     if (m_suspects.erase(request) != 0)
         std::erase_if(m_losses, [&request](const Loss &loss) { return loss.request == request; });
+    std::erase_if(m_silent, [&request](const Loss &loss) { return loss.request == request; });
     m_answered[request] = now;
     m_answeredOrder.emplace_back(now, request);
     while (m_answeredOrder.size() > maxSuccesses) {
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -215,6 +215,7 @@
 void GatewayRouter::send(Request &request, Target &target, Time now)
 {
     request.target = target.entry.identity.id;
+    request.incarnation = target.entry.identity.incarnation;
     request.sentAt = now;
     request.isSent = true;
     ++request.attempts;
@@ -393,7 +394,10 @@
         m_effects.emplace_back(CancelSend{id, request.attempts, !request.route->isIdempotent});
         constexpr std::size_t maxAbandoned = 1024;
         if (!request.route->isIdempotent && m_abandoned.size() < maxAbandoned)
-            m_abandoned[{id, request.attempts}] = {request.head.fingerprint, service, request.target, request.sentAt};
+            m_abandoned[{id, request.attempts}]
+                = {request.head.fingerprint, service, {request.target, request.incarnation}, request.sentAt};
+        if (request.route->isIdempotent)
+            stoppedWaiting(request, TargetLoss::SilentAtLeave, now);
         if (const auto target = serviceOf(service).targets.find(request.target);
             target != serviceOf(service).targets.end())
             target->second.state.score().attemptDiscarded();
@@ -425,6 +429,7 @@
             target->second.state.score().attemptFinished(TargetObservation::Failed, now - request.sentAt,
                                                          request.route->latencyObjective, minBaselineLatency, now);
         m_effects.emplace_back(CancelSend{id, request.attempts});
+        stoppedWaiting(request, TargetLoss::SilentAtDeadline, now);
         endUncertain(request, GatewayError::TimedOut, request.target + " did not respond in time");
     }
     for (auto &[name, service] : m_services) {
--- a/packages/core/src/gatewayrouter_quarantine.cpp
+++ b/packages/core/src/gatewayrouter_quarantine.cpp
@@ -46,15 +46,19 @@
 void GatewayRouter::noteEnd(Request &request, const GatewayAttemptEnd &end, Time now)
 {
     const RequestFingerprint &fingerprint = request.head.fingerprint;
+    const TargetIdentity target{request.target, request.incarnation};
     if (end.end == AttemptEnd::Answered) {
-        responseRead(fingerprint, now);
+        responseRead(fingerprint, target, request.sentAt, now);
     } else if (end.end == AttemptEnd::AnswerLost || end.end == AttemptEnd::AnswerTruncated) {
         request.wasSuspect = request.wasSuspect || m_suspects.isSuspect(fingerprint, now);
-        responseLost(fingerprint, request.service, request.target, request.sentAt, now);
+        responseLost(fingerprint, request.service, target, request.sentAt, now);
     } else if (end.isRefused) {
-        const Service &service = serviceOf(request.service);
-        if (const auto found = service.targets.find(request.target); found != service.targets.end())
-            targetEnded(found->second.entry.identity, now);
+        targetEnded(request.service, target, LifeEnd::Refused, now);
+    } else if (end.end == AttemptEnd::NotOwner && !isSharded(request.service)) {
+        // Without keys, only another target at this address says so.
+        targetEnded(request.service, target, LifeEnd::OtherLife, now);
+    } else if (end.end == AttemptEnd::Shed || end.end == AttemptEnd::Draining) {
+        m_suspects.targetAnswered(target, request.sentAt);
     }
 }
 
@@ -66,34 +70,53 @@
     const AbandonedAttempt attempt = found->second;
     m_abandoned.erase(found);
     if (end.end == AttemptEnd::Answered)
-        responseRead(attempt.fingerprint, now);
+        responseRead(attempt.fingerprint, attempt.target, attempt.sentAt, now);
     else if (end.end == AttemptEnd::AnswerLost || end.end == AttemptEnd::AnswerTruncated)
         responseLost(attempt.fingerprint, attempt.service, attempt.target, attempt.sentAt, now);
 }
 
 void GatewayRouter::responseLost(const RequestFingerprint &fingerprint, const std::string &serviceName,
-                                 const std::string &target, Time sentAt, Time now)
+                                 const TargetIdentity &target, Time sentAt, Time now)
 {
     const Service &service = serviceOf(serviceName);
-    const auto found = service.targets.find(target);
-    if (found == service.targets.end())
+    const auto found = service.targets.find(target.id);
+    // What happens after the end of the target's life is no evidence.
+    if (found == service.targets.end() || found->second.entry.identity != target)
         return;
-    const RegisteredTarget &entry = found->second.entry;
-    if (m_suspects.lost(fingerprint, entry.identity, sentAt, now))
-        m_effects.emplace_back(ProbeTarget{serviceName, entry.identity, entry.address});
+    if (m_suspects.lost(fingerprint, target, sentAt, now))
+        m_effects.emplace_back(ProbeTarget{serviceName, target, found->second.entry.address});
+}
+
+/// The request ends while its target is silent.
+void GatewayRouter::stoppedWaiting(const Request &request, TargetLoss loss, Time now)
+{
+    m_suspects.lost(request.head.fingerprint, {request.target, request.incarnation}, request.sentAt, now, loss);
 }
 
 /// A target survived the request.
-void GatewayRouter::responseRead(const RequestFingerprint &fingerprint, Time now)
+void GatewayRouter::responseRead(const RequestFingerprint &fingerprint, const TargetIdentity &target, Time sentAt,
+                                 Time now)
 {
+    m_suspects.targetAnswered(target, sentAt);
     m_suspects.answered(fingerprint, now);
     if (quarantineEnd(fingerprint, now) != 0ms)
         m_effects.emplace_back(QuarantineRefuted{fingerprint});
 }
 
-void GatewayRouter::targetEnded(const TargetIdentity &target, Time now)
+void GatewayRouter::targetEnded(const std::string &service, const TargetIdentity &target, LifeEnd end, Time now)
 {
-    for (const CrashReport &report : m_suspects.targetEnded(target, now))
+    if (end != LifeEnd::Refused) {
+        for (const auto &[id, request] : m_requests) {
+            if (request.isSent && request.service == service && request.target == target.id
+                && request.incarnation == target.incarnation)
+                m_suspects.lost(request.head.fingerprint, target, request.sentAt, now, TargetLoss::Waiting);
+        }
+        for (const auto &[attempt, abandoned] : m_abandoned) {
+            if (abandoned.target == target)
+                m_suspects.lost(abandoned.fingerprint, target, abandoned.sentAt, now, TargetLoss::Waiting);
+        }
+    }
+    for (const CrashReport &report : m_suspects.targetEnded(target, end, now))
         m_effects.emplace_back(TargetCrashed{report});
 }
 
@@ -104,7 +127,7 @@
     const auto found = service.targets.find(target.id);
     // The address may be that of another incarnation by now.
     if (isRefused && found != service.targets.end() && found->second.entry.identity == target)
-        targetEnded(target, now);
+        targetEnded(serviceName, target, LifeEnd::Refused, now);
     return takeEffects();
 }
 
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -20,8 +20,13 @@
             const TargetIdentity &identity = known.second.entry.identity;
             if (found != entries.end() && found->second->identity == identity)
                 return false;
-            targetEnded(identity, now);
             const TargetBeliefs &beliefs = known.second.state.beliefs();
+            const bool isLeaving = known.second.entry.isDraining || beliefs.isLeaving();
+            targetEnded(name, identity,
+                        found != entries.end() ? LifeEnd::Replaced
+                            : isLeaving        ? LifeEnd::VanishedLeaving
+                                               : LifeEnd::Vanished,
+                        now);
             if (found != entries.end() && found->second->identity.incarnation > identity.incarnation)
                 reportBeliefs(name, identity, beliefs.drop(now));
             else if (beliefs.isAny(now))
--- a/packages/core/src/quarantine.cpp
+++ b/packages/core/src/quarantine.cpp
@@ -20,7 +20,8 @@
                               [&report](const Crash &each) { return each.target == report.target; });
     if (crash == crashes.end())
         crash = crashes.insert(crashes.end(), {report.target, now - report.sentAgo, now - report.endedAgo, {}});
-    if (crash->copies.size() < maxReporters)
+    const CrashReport first{report.request, report.target, now - crash->sentAt, now - crash->endedAt};
+    if (crash->copies.size() < maxReporters && areCopies(first, report))
         crash->copies.try_emplace(from, report.copies);
     std::sort(crashes.begin(), crashes.end(), [](const Crash &a, const Crash &b) { return a.endedAt < b.endedAt; });
     return crashes.size();
--- a/packages/core/tests/quarantine_test.cpp
+++ b/packages/core/tests/quarantine_test.cpp
@@ -23,6 +23,13 @@
     Crashes, ///< Half of the targets are killed at once, again and again, and connections break.
 };
 
+/// How a target ends.
+enum class CrashForm {
+    Reset, ///< Its connections close, its host refuses new ones, and its entry names another incarnation soon.
+    Silent, ///< Nothing answers any more; its entry vanishes, and a target with another id takes its place.
+    Either, ///< Drawn for each crash.
+};
+
 struct Setup
 {
     std::size_t daemons = 8;
@@ -33,6 +40,8 @@
     Disturbance disturbance = Disturbance::None;
     PlantedFault fault = PlantedFault::None;
     std::size_t copies = 3; ///< Of the crash-inducing request that come at the same time, once in a while.
+    CrashForm form = CrashForm::Reset;
+    int interval = 60; ///< Between two arrivals of the crash-inducing request on average, in steps of 5 ms.
 };
 
 /// Simulates, in virtual time, daemons with a router and a keeper each, and targets that crash. Records what the
@@ -41,6 +50,7 @@
 {
 public:
     static constexpr Duration endOfRun = 30s;
+    static constexpr Duration silentTime = 3600ms; ///< Until a silent target's entry vanishes for the daemons.
     static constexpr RequestFingerprint crashInducing{0xdead, 1};
     static constexpr RequestFingerprint hot{0x407, 1};
 
@@ -49,7 +59,7 @@
         , m_setup(setup)
     {
         for (const RegisteredTarget &entry : targetsOf(service(), 8))
-            m_targets[entry.identity.id] = {entry, true, {}};
+            m_targets[entry.identity.id].entry = entry;
         for (std::size_t index = 0; index < setup.daemons; ++index)
             start(index);
         assignKeys();
@@ -66,7 +76,7 @@
                 }
                 disturb();
                 request(m_setup.isHot && isOneIn(3) ? hot : RequestFingerprint{1, ++m_requests});
-                if (m_setup.hasCrashInducing && m_now > 2s && isOneIn(60)) {
+                if (m_setup.hasCrashInducing && m_now > 2s && isOneIn(m_setup.interval)) {
                     for (std::size_t copies = isOneIn(3) ? m_setup.copies : 1; copies != 0; --copies)
                         request(crashInducing);
                 }
@@ -84,10 +94,15 @@
     /// Requests that reached targets more than 3 s after the third equal one had ended with its target.
     std::size_t lateArrivals() const
     {
-        if (m_ends.size() < 3)
+        std::vector<Time> ends;
+        for (const End &end : m_ends) {
+            if (!end.isForgotten)
+                ends.push_back(end.time);
+        }
+        if (ends.size() < 3)
             return 0;
         return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(),
-                                                      [this](Time arrival) { return arrival > m_ends[2] + 3s; }));
+                                                      [&ends](Time arrival) { return arrival > ends[2] + 3s; }));
     }
     std::size_t ends() const { return m_ends.size(); }
 
@@ -117,10 +132,20 @@
         std::uint64_t life = 0;
     };
 
+    /// Of an attempt of the crash-inducing request, with its target.
+    struct End
+    {
+        Time time = 0ms;
+        std::uint64_t life = 0; ///< Of the daemon that had sent it.
+        bool isForgotten = false; ///< That daemon was killed before anything showed that the target had ended.
+    };
+
     struct SimTarget
     {
         RegisteredTarget entry;
         bool isUp = true;
+        bool isSilent = false; ///< While it is down: its host doesn't refuse connections.
+        bool isListed = true;
         std::map<std::uint64_t, Attempt> running; ///< By a number.
     };
 
@@ -137,8 +162,10 @@
     std::vector<RegisteredTarget> listed() const
     {
         std::vector<RegisteredTarget> entries;
-        for (const auto &[id, target] : m_targets)
-            entries.push_back(target.entry);
+        for (const auto &[id, target] : m_targets) {
+            if (target.isListed)
+                entries.push_back(target.entry);
+        }
         return entries;
     }
 
@@ -188,12 +215,18 @@
         SimTarget &target = m_targets.at(id);
         if (!std::exchange(target.isUp, false))
             return;
+        const bool isSilent = m_setup.form == CrashForm::Silent || (m_setup.form == CrashForm::Either && isOneIn(2));
         for (const auto &[number, attempt] : std::exchange(target.running, {})) {
             if (m_crashInducing.contains(number))
-                m_ends.push_back(m_now);
-            at(m_now + upTo(3ms), [this, attempt = attempt] { finish(attempt, AttemptEnd::AnswerLost); });
+                m_ends.push_back({m_now, attempt.life, false});
+            if (isSilent)
+                hang(attempt);
+            else
+                at(m_now + upTo(3ms), [this, attempt = attempt] { finish(attempt, AttemptEnd::AnswerLost); });
         }
         at(m_now + 1700ms, [this] { assignKeys(); });
+        if (isSilent)
+            return replace(id);
         at(m_now + 2500ms + upTo(1s), [this, id] {
             SimTarget &restarted = m_targets.at(id);
             ++restarted.entry.identity.incarnation;
@@ -204,12 +237,43 @@
         });
     }
 
+    /// The registry drops a silent target's entry; the daemons keep it for a second more.
+    void replace(const std::string &id)
+    {
+        m_targets.at(id).isSilent = true;
+        at(m_now + silentTime, [this, id] {
+            m_targets.at(id).isListed = false;
+            for (auto &[index, daemon] : m_daemons)
+                take(daemon, daemon.router.setTargets(listed(), m_now));
+        });
+        at(m_now + 4s + upTo(1s), [this, id] {
+            RegisteredTarget entry = m_targets.at(id).entry;
+            entry.identity.id = id + "'";
+            m_targets[entry.identity.id].entry = entry;
+            for (auto &[index, daemon] : m_daemons)
+                take(daemon, daemon.router.setTargets(listed(), m_now));
+            assignKeys();
+        });
+    }
+
+    /// No response comes, until the adapter's time limit at the latest.
+    void hang(const Attempt &attempt)
+    {
+        at(m_now + attempt.send.timeout + 100ms, [this, attempt] { finish(attempt, AttemptEnd::AnswerLost); });
+    }
+
     void disturb()
     {
         if (m_setup.disturbance == Disturbance::Restarts && isOneIn(300)) {
             const auto index = std::uniform_int_distribution<std::size_t>(0, m_setup.daemons - 1)(m_random);
-            if (m_daemons.erase(index) != 0)
+            if (const auto killed = m_daemons.find(index); killed != m_daemons.end()) {
+                for (End &end : m_ends) {
+                    if (end.life == killed->second.life && m_now - end.time < silentTime)
+                        end.isForgotten = m_setup.form != CrashForm::Reset;
+                }
+                m_daemons.erase(killed);
                 at(m_now + 500ms + upTo(2s), [this, index] { start(index); });
+            }
         }
         if (m_setup.disturbance != Disturbance::Crashes)
             return;
@@ -247,6 +311,12 @@
         take(daemon,
              daemon.router.requestArrived(
                  {id, "h", path, m_setup.isKeyed ? std::optional(key) : std::nullopt, 3s, fingerprint}, m_now));
+        if (m_setup.form != CrashForm::Reset && isOneIn(3)) {
+            at(m_now + 200ms + upTo(500ms), [this, id, index = daemon.index, life = daemon.life] {
+                if (Daemon *to = find(index, life))
+                    take(*to, to->router.callerLeft(id, m_now));
+            });
+        }
     }
 
     Daemon *find(std::size_t index, std::uint64_t life)
@@ -270,10 +340,10 @@
                 innocentsAnswered += daemon.requests.at(answer->id) != crashInducing ? 1 : 0;
             } else if (const auto *probe = std::get_if<ProbeTarget>(&effect)) {
                 at(m_now + upTo(4ms), [this, probe = *probe, index = daemon.index, life = daemon.life] {
+                    const SimTarget &target = m_targets.at(probe.target.id);
+                    const bool isRefused = !target.isUp && !target.isSilent;
                     if (Daemon *to = find(index, life))
-                        take(*to,
-                             to->router.targetProbed(probe.service, probe.target, !m_targets.at(probe.target.id).isUp,
-                                                     m_now));
+                        take(*to, to->router.targetProbed(probe.service, probe.target, isRefused, m_now));
                 });
             } else if (const auto *crashed = std::get_if<TargetCrashed>(&effect)) {
                 if (m_setup.fault != PlantedFault::ReportsNothing)
@@ -331,6 +401,13 @@
         SimTarget &target = m_targets.at(attempt.send.target.id);
         if (daemon == nullptr)
             return;
+        if (target.isSilent && isOneIn(2))
+            return hang(attempt); // On a connection that was open.
+        if (target.isSilent) {
+            constexpr Duration connectTimeout = 250ms;
+            at(m_now + connectTimeout, [this, attempt] { finish(attempt, AttemptEnd::NothingSent, false); });
+            return;
+        }
         if (!target.isUp)
             return finish(attempt, AttemptEnd::NothingSent);
         if (target.entry.identity != attempt.send.target)
@@ -363,13 +440,13 @@
         });
     }
 
-    void finish(const Attempt &attempt, AttemptEnd end)
+    void finish(const Attempt &attempt, AttemptEnd end, bool isRefused = true)
     {
         Daemon *daemon = find(attempt.daemon, attempt.life);
         if (daemon == nullptr)
             return;
         GatewayAttemptEnd result{attempt.send.id, attempt.send.attempt, end, false, {}};
-        result.isRefused = end == AttemptEnd::NothingSent;
+        result.isRefused = end == AttemptEnd::NothingSent && isRefused;
         take(*daemon, daemon->router.attemptFinished(result, m_now));
     }
 
@@ -383,11 +460,22 @@
     std::map<std::string, SimTarget> m_targets;
     RangeOwners m_owners;
     std::multimap<Time, std::function<void()>> m_due;
-    std::vector<Time> m_ends; ///< Of attempts of the crash-inducing request, by crashes.
+    std::vector<End> m_ends;
     std::set<std::uint64_t> m_crashInducing; ///< Numbers of its attempts.
     std::vector<Time> m_arrivals; ///< Of the crash-inducing request, at targets.
 };
 
+/// A request comes every second or so: it takes the registry longer than that to notice a silent target.
+Setup silently(std::size_t daemons, bool isKeyed, bool isIdempotent, Disturbance disturbance = Disturbance::None,
+               CrashForm form = CrashForm::Silent)
+{
+    Setup setup{daemons, isKeyed, isIdempotent, true, false, disturbance};
+    setup.copies = 1;
+    setup.form = form;
+    setup.interval = 200;
+    return setup;
+}
+
 } // namespace
 
 TEST_CASE("A request that has crashed three targets reaches no more of them, and others are served")
@@ -397,8 +485,10 @@
         const char *name;
         Setup setup;
         double minAnswered = 0.8; ///< Of the other requests.
+        std::size_t minEnds = 3;
+        std::size_t minQuarantined = 11;
     };
-    const auto [name, setup, minAnswered] = GENERATE(values<Case>({
+    const auto [name, setup, minAnswered, minEnds, minQuarantined] = GENERATE(values<Case>({
         {"reads", {8, false, true, true, false, Disturbance::None}},
         {"writes", {8, false, false, true, false, Disturbance::None}},
         {"keyed reads", {8, true, true, true, false, Disturbance::None}},
@@ -412,14 +502,24 @@
         {"daemons restart", {11, false, true, true, false, Disturbance::Restarts}},
         {"daemons restart, keyed", {11, true, true, true, true, Disturbance::Restarts}},
         {"half of the targets are killed again and again", {11, false, true, true, true, Disturbance::Crashes}, 0.7},
+        // Silent: the request comes less often, and copies that found a silent target count, too.
+        {"silent, reads", silently(8, false, true), 0.4, 2, 4},
+        {"silent, writes", silently(8, false, false), 0.4, 2, 4},
+        {"silent, keyed reads", silently(8, true, true), 0.4, 2, 4},
+        {"silent, keyed writes", silently(11, true, false), 0.4, 2, 4},
+        {"silent, lossy network", silently(11, false, true, Disturbance::Lossy), 0.4, 2, 4},
+        {"silent, daemons restart", silently(11, false, true, Disturbance::Restarts), 0.4, 2, 4},
+        {"silent, daemons restart, keyed", silently(11, true, true, Disturbance::Restarts), 0.4, 2, 4},
+        {"either form, reads", silently(11, false, true, Disturbance::Lossy, CrashForm::Either), 0.4, 2, 4},
+        {"either form, keyed reads", silently(11, true, true, Disturbance::Restarts, CrashForm::Either), 0.4, 2, 4},
     }));
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         INFO(name << ", seed " << seed);
         CrashWorld world(seed, setup);
         world.run();
-        CHECK(world.ends() >= 3);
+        CHECK(world.ends() >= minEnds);
         CHECK(world.lateArrivals() <= 3);
-        CHECK(world.quarantined > 10);
+        CHECK(world.quarantined >= minQuarantined);
         CHECK(world.falselyNotRun == 0);
         CHECK(static_cast<double>(world.innocentsAnswered) > minAnswered * static_cast<double>(world.innocents));
         CHECK(static_cast<double>(world.innocentsQuarantined) <= 0.002 * static_cast<double>(world.innocents));
@@ -429,10 +529,14 @@
 TEST_CASE("Requests that were only near crashes stay served, however often targets are killed")
 {
     const auto [isKeyed, isHot] = GENERATE(table<bool, bool>({{false, false}, {false, true}, {true, true}}));
-    INFO((isKeyed ? "keyed" : "not keyed") << (isHot ? ", many equal requests" : ""));
+    const CrashForm form = GENERATE(CrashForm::Reset, CrashForm::Silent, CrashForm::Either);
+    INFO((isKeyed ? "keyed" : "not keyed")
+         << (isHot ? ", many equal requests" : "") << ", form " << static_cast<int>(form));
     for (std::uint64_t seed = 1; seed <= 15; ++seed) {
         INFO("seed " << seed);
-        CrashWorld world(seed, {11, isKeyed, true, false, isHot, Disturbance::Crashes});
+        Setup setup{11, isKeyed, true, false, isHot, Disturbance::Crashes};
+        setup.form = form;
+        CrashWorld world(seed, setup);
         world.run();
         CHECK(static_cast<double>(world.innocentsQuarantined) <= 0.002 * static_cast<double>(world.innocents));
     }
@@ -468,17 +572,17 @@
     CHECK(suspects.isSuspect(request, 11s));
     SECTION("the target ended")
     {
-        CHECK(suspects.targetEnded(target, 12s)
+        CHECK(suspects.targetEnded(target, LifeEnd::Vanished, 12s)
               == std::vector<CrashReport>{{request, target, 2s, 1s}, {{2, 2}, target, 2s, 1s}});
-        CHECK(suspects.targetEnded(target, 12s).empty());
+        CHECK(suspects.targetEnded(target, LifeEnd::Vanished, 12s).empty());
     }
     SECTION("it ended long after")
     {
-        CHECK(suspects.targetEnded(target, 11s + CrashSuspects::evidenceTime + 1ms).empty());
+        CHECK(suspects.targetEnded(target, LifeEnd::Vanished, 11s + CrashSuspects::evidenceTime + 1ms).empty());
     }
     SECTION("another incarnation ended")
     {
-        CHECK(suspects.targetEnded({"t", 2}, 12s).empty());
+        CHECK(suspects.targetEnded({"t", 2}, LifeEnd::Vanished, 12s).empty());
     }
     SECTION("the request was answered")
     {
@@ -486,7 +590,7 @@
         CHECK_FALSE(suspects.isSuspect(request, 12s));
         CHECK(suspects.wasAnsweredSince(request, 12s));
         CHECK_FALSE(suspects.wasAnsweredSince(request, 12s + 1ms));
-        CHECK(suspects.targetEnded(target, 12s).size() == 1);
+        CHECK(suspects.targetEnded(target, LifeEnd::Vanished, 12s).size() == 1);
     }
     SECTION("a flood of others")
     {
@@ -494,7 +598,7 @@
             suspects.lost({index + 10, 1}, target, 11s, 12s);
             suspects.answered({index + 20'000, 1}, 12s);
         }
-        CHECK(suspects.targetEnded(target, 12s).size() <= CrashSuspects::maxLosses);
+        CHECK(suspects.targetEnded(target, LifeEnd::Vanished, 12s).size() <= CrashSuspects::maxLosses);
         CHECK_FALSE(suspects.wasAnsweredSince({20'000, 1}, 0ms));
         CHECK(suspects.wasAnsweredSince({29'999, 1}, 0ms));
     }
