Watch on from the first page of a list

Cause: FeedWatcher took its position from the last page of a list. What changed on an earlier page between that page's revision and the last one's was on no page and in no watch, so a daemon that had started sent requests to targets that drained meanwhile.

Change: PagedList joins the pages of one list, for every kind: it is complete as of its first page's revision and time, and says up to where changes may be missing. If they may, the watcher calls for them at once, without the pause that other daemons' news gets. completeAt() is the time of the first page. A page that says that more follows but shows no later name is a failed call: before, it ended the list as if whole, or began it again without end after a name that can't be read.

Weighed: dropping replayed events that a later page contains already. An event of a removal doesn't name its own revision, so a re-created entry could be lost; in order, the last event of a name decides, and a replay shows no state that the entry hasn't had.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pagedlist.h"
+
 #include <sardinehinge/core/watchroster.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/edges/gatewayedges.h>
@@ -71,7 +73,7 @@
     {
     }
 
-    void start() { list({}); }
+    void start() { list(); }
     /// Whether to keep a call waiting at the store all the time.
     void setWatching(bool isWatching)
     {
@@ -137,11 +139,18 @@
     {
         m_timer.cancel();
         ++m_round;
-        m_isListed ? next() : list({});
+        m_isListed ? next() : list();
     }
 
 private:
     using Page = edges::FeedPage<Value>;
+    using Progress = typename PagedList<Value>::Progress;
+
+    void list()
+    {
+        m_list.begin();
+        listOn();
+    }
 
     /// Drops answers that are under way.
     void listAgain()
@@ -150,7 +159,7 @@
         ++m_round;
         m_isListed = false;
         m_isIdle = false;
-        list({});
+        list();
     }
 
     /// Whether an answer is of an earlier era than the latest known one, such as one that was under way for long.
@@ -168,11 +177,10 @@
         fail(failed);
     }
 
-    void list(const std::string &after)
+    /// Reads the list's next page.
+    void listOn()
     {
-        if (after.empty())
-            m_names.clear();
-        m_feed.list(after, [this, round = m_round, isFirst = after.empty()](const Page &page) {
+        m_feed.list(m_list.after(), [this, round = m_round](const Page &page) {
             if (round != m_round)
                 return;
             eraSeen(page.era);
@@ -181,26 +189,41 @@
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
-            if (isFirst)
-                m_listEra = page.era;
-            else if (page.era != m_listEra)
+            const auto progress = m_list.take(page, bootTime());
+            if (progress == Progress::OtherEra)
                 return listAgain();
             if (!take(page))
                 return;
-            if (page.hasMore && !page.entries.empty())
-                return list(page.entries.back().name);
-            const std::uint64_t before = m_position.era == page.era ? m_position.relistedAt : 0;
-            m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : before, page.era};
-            m_isHistoryLost = false;
-            m_listedAt = m_position.complete();
-            m_isListed = true;
-            m_handlers.listed(m_names);
-            m_completeAt = bootTime();
-            m_changedAt = std::chrono::steady_clock::now();
-            next();
+            if (progress == Progress::Broken)
+                return failBroken();
+            progress == Progress::Continues ? listOn() : listed();
         });
     }
 
+    /// Goes on from the list's first page: what changed while the others were read is not known yet.
+    void listed()
+    {
+        const std::uint64_t revision = m_list.revision();
+        const std::uint64_t before = m_position.era == m_list.era() ? m_position.relistedAt : 0;
+        m_position = {revision, revision, m_isHistoryLost ? revision : before, m_list.era()};
+        m_isHistoryLost = false;
+        m_listedAt = m_position.complete();
+        m_isListed = true;
+        m_handlers.listed(m_list.names());
+        m_completeAt = m_list.completeAt();
+        m_changedAt = std::chrono::steady_clock::now();
+        const bool hasGap = m_list.latest() > revision;
+        m_list.begin();
+        hasGap ? watch() : next();
+    }
+
+    void failBroken()
+    {
+        Page failed;
+        failed.detail = "a page of a list says that more follows, but not where";
+        fail(failed);
+    }
+
     /// Goes on after an answer: calls again, at once or after the pause that follows changes, or waits to be told of
     /// some.
     void next()
@@ -256,18 +279,14 @@
     bool take(const Page &page)
     {
         try {
-            for (const auto &entry : page.entries) {
-                m_names.push_back(entry.name);
+            for (const auto &entry : page.entries)
                 m_handlers.changed(entry);
-            }
         } catch (const std::exception &error) {
             Page failed;
             failed.detail = error.what();
             fail(failed);
             return false;
         }
-        if (m_isListed)
-            m_names.clear();
         return true;
     }
 
@@ -281,7 +300,7 @@
     {
         m_handlers.reached(false, page.detail);
         m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
-        after(m_retry, [this] { m_isListed ? watch() : list({}); });
+        after(m_retry, [this] { m_isListed ? watch() : list(); });
     }
 
     void after(core::Duration wait, std::function<void()> action)
@@ -297,10 +316,9 @@
     Handlers m_handlers;
     FeedTiming m_timing;
     boost::asio::steady_timer m_timer;
-    std::vector<std::string> m_names;
+    PagedList<Value> m_list; ///< The list under way.
     core::FeedPosition m_position;
     core::StoreEra m_era = 0; ///< The latest known, and that of m_position once entries are listed.
-    core::StoreEra m_listEra = 0; ///< Of the first page of the list under way.
     core::StorePoint m_listedAt; ///< Of the latest whole list.
     core::Time m_completeAt{};
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
