--- a/packages/core/include/sardinehinge/core/membership/feedhistory.h
+++ b/packages/core/include/sardinehinge/core/membership/feedhistory.h
@@ -30,7 +30,7 @@
     static constexpr std::size_t maxBytes = 1024UL * 1024; ///< Of the answers; the oldest give way.
     static constexpr std::size_t maxAnswers = 64;
 
-    /// Appends an answer. One that doesn't follow the latest, or is of another era, begins a new run.
+    /// Appends an answer. One that leaves a gap after the latest, or is of another era, begins a new run.
     void add(FeedAnswer answer, StoreEra era);
     /// Returns the answers that a copy complete up to `completeTo` lacks; std::nullopt if some of them aren't known.
     std::optional<std::vector<FeedAnswer>> since(std::uint64_t completeTo, StoreEra era) const;
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -36,6 +36,7 @@
     prometheus::Family<prometheus::Counter> &m_peerBytes;
     prometheus::Family<prometheus::Counter> &m_platformCalls;
     prometheus::Family<prometheus::Counter> &m_permits;
+    prometheus::Family<prometheus::Counter> &m_feedReads;
     std::mutex m_mutex;
     std::vector<ReadGauge> m_gauges;
 
@@ -53,6 +54,9 @@
     prometheus::Counter &storeWatches;
     prometheus::Counter &listReads;
     prometheus::Counter &requestsQuarantined; ///< Rejected because targets that ran equal requests crashed.
+    prometheus::Counter &feedReads; ///< Changes read from another daemon instead of the platform's store.
+    prometheus::Counter &feedReadsFailed; ///< It didn't have them, or didn't answer in time: the store was called.
+    prometheus::Counter &feedReadsServed; ///< Other daemons' requests for changes, whatever their outcome.
     prometheus::Counter &permitsGranted;
     prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
 };
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "pagedlist.h"
+
+#include <sardinehinge/core/membership/feedhistory.h>
 #include <sardinehinge/core/watchroster.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/edges/gatewayedges.h>
@@ -50,6 +53,8 @@
 class FeedWatcher
 {
 public:
+    using Answers = std::vector<core::FeedAnswer>;
+
     struct Handlers
     {
         std::function<void(const edges::FeedEntry<Value> &)> changed;
@@ -57,10 +62,13 @@
         std::function<void(const std::vector<std::string> &)> listed;
         /// Whether the last call was answered, with what is known of a failure.
         std::function<void(bool isReachable, const std::string &detail)> reached;
-        /// A watch brought these entries; `base` is the revision of the change before them. May be empty.
-        std::function<void(const std::vector<edges::FeedEntry<Value>> &entries, std::uint64_t base)> watched;
+        /// A watch brought this page; `base` is the revision of the change before its entries. May be empty.
+        std::function<void(const edges::FeedPage<Value> &page, std::uint64_t base)> watched;
         /// An answer, or another daemon, told of a later era. Called before its entries are handed on.
         std::function<void(core::StoreEra)> eraSeen;
+        /// Reads the changes since a revision from the daemon that has news of them, and passes its answers on, or none
+        /// if it doesn't have all. May be empty: then the store is called.
+        std::function<void(std::uint64_t revision, core::StoreEra era, std::function<void(Answers)>)> readPeer = {};
     };
 
     FeedWatcher(boost::asio::io_context &context, edges::Feed<Value> &feed, Handlers handlers, FeedTiming timing = {})
@@ -71,7 +79,7 @@
     {
     }
 
-    void start() { list({}); }
+    void start() { list(); }
     /// Whether to keep a call waiting at the store all the time.
     void setWatching(bool isWatching)
     {
@@ -107,7 +115,7 @@
             m_completeAt = std::max(m_completeAt, answeredAt);
         } else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changed())) <= m_position.complete()
                    && m_isIdle) {
-            next();
+            m_handlers.readPeer ? readPeer() : next();
         }
     }
     /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision` of `era`.
@@ -137,11 +145,18 @@
     {
         m_timer.cancel();
         ++m_round;
-        m_isListed ? next() : list({});
+        m_isListed ? next() : list();
     }
 
 private:
     using Page = edges::FeedPage<Value>;
+    using Progress = typename PagedList<Value>::Progress;
+
+    void list()
+    {
+        m_list.begin();
+        listOn();
+    }
 
     /// Drops answers that are under way.
     void listAgain()
@@ -150,7 +165,7 @@
         ++m_round;
         m_isListed = false;
         m_isIdle = false;
-        list({});
+        list();
     }
 
     /// Whether an answer is of an earlier era than the latest known one, such as one that was under way for long.
@@ -168,11 +183,10 @@
         fail(failed);
     }
 
-    void list(const std::string &after)
+    /// Reads the list's next page.
+    void listOn()
     {
-        if (after.empty())
-            m_names.clear();
-        m_feed.list(after, [this, round = m_round, isFirst = after.empty()](const Page &page) {
+        m_feed.list(m_list.after(), [this, round = m_round](const Page &page) {
             if (round != m_round)
                 return;
             eraSeen(page.era);
@@ -181,26 +195,41 @@
             if (page.outcome != edges::StoreOutcome::Ok)
                 return fail(page);
             succeed();
-            if (isFirst)
-                m_listEra = page.era;
-            else if (page.era != m_listEra)
+            const auto progress = m_list.take(page, bootTime());
+            if (progress == Progress::OtherEra)
                 return listAgain();
             if (!take(page))
                 return;
-            if (page.hasMore && !page.entries.empty())
-                return list(page.entries.back().name);
-            const std::uint64_t before = m_position.era == page.era ? m_position.relistedAt : 0;
-            m_position = {page.revision, page.revision, m_isHistoryLost ? page.revision : before, page.era};
-            m_isHistoryLost = false;
-            m_listedAt = m_position.complete();
-            m_isListed = true;
-            m_handlers.listed(m_names);
-            m_completeAt = bootTime();
-            m_changedAt = std::chrono::steady_clock::now();
-            next();
+            if (progress == Progress::Broken)
+                return failBroken();
+            progress == Progress::Continues ? listOn() : listed();
         });
     }
 
+    /// Goes on from the list's first page: what changed while the others were read is not known yet.
+    void listed()
+    {
+        const std::uint64_t revision = m_list.revision();
+        const std::uint64_t before = m_position.era == m_list.era() ? m_position.relistedAt : 0;
+        m_position = {revision, revision, m_isHistoryLost ? revision : before, m_list.era()};
+        m_isHistoryLost = false;
+        m_listedAt = m_position.complete();
+        m_isListed = true;
+        m_handlers.listed(m_list.names());
+        m_completeAt = m_list.completeAt();
+        m_changedAt = std::chrono::steady_clock::now();
+        const bool hasGap = m_list.latest() > revision;
+        m_list.begin();
+        hasGap ? watch() : next();
+    }
+
+    void failBroken()
+    {
+        Page failed;
+        failed.detail = "a page of a list says that more follows, but not where";
+        fail(failed);
+    }
+
     /// Goes on after an answer: calls again, at once or after the pause that follows changes, or waits to be told of
     /// some.
     void next()
@@ -216,11 +245,35 @@
             after(left, [this] { watch(); });
     }
 
+    /// Reads the news from another daemon, and from the store what that one doesn't have.
+    void readPeer()
+    {
+        m_isIdle = false;
+        const std::uint64_t before = m_position.completeTo;
+        m_handlers.readPeer(before, m_era, [this, before, round = m_round](const Answers &answers) {
+            if (round != m_round)
+                return;
+            for (const core::FeedAnswer &answer : answers) {
+                Page page = m_feed.read(answer.source);
+                const bool follows = m_position.completeTo >= answer.base && m_position.completeTo < answer.revision;
+                if (page.outcome != edges::StoreOutcome::Ok || !follows)
+                    continue;
+                if (!take(page))
+                    return;
+                m_position.changedAt = m_position.completeTo = answer.revision;
+            }
+            const bool isBehind = m_newsAt > m_position.complete();
+            isBehind &&m_position.completeTo > before ? readPeer() : next();
+        });
+    }
+
     void watch()
     {
         m_isIdle = false;
         const auto wait = m_isWatching ? m_timing.wait : m_timing.catchUpWait;
-        m_feed.watch(m_position.completeTo, wait, [this, round = m_round](const Page &page) {
+        // Later changes may come from another daemon before the answer does.
+        const std::uint64_t base = m_position.changedAt;
+        m_feed.watch(m_position.completeTo, wait, [this, base, round = m_round](const Page &page) {
             if (round != m_round)
                 return;
             // A watch of an older revision may be answered although the store has lost changes: the list replaces it.
@@ -242,10 +295,10 @@
             if (isNews) {
                 if (!take(page))
                     return;
-                const std::uint64_t base = std::exchange(m_position.changedAt, m_position.completeTo);
+                m_position.changedAt = m_position.completeTo;
                 m_changedAt = std::chrono::steady_clock::now();
                 if (m_handlers.watched)
-                    m_handlers.watched(page.entries, base);
+                    m_handlers.watched(page, base);
             }
             m_completeAt = bootTime();
             next();
@@ -256,18 +309,14 @@
     bool take(const Page &page)
     {
         try {
-            for (const auto &entry : page.entries) {
-                m_names.push_back(entry.name);
+            for (const auto &entry : page.entries)
                 m_handlers.changed(entry);
-            }
         } catch (const std::exception &error) {
             Page failed;
             failed.detail = error.what();
             fail(failed);
             return false;
         }
-        if (m_isListed)
-            m_names.clear();
         return true;
     }
 
@@ -281,7 +330,7 @@
     {
         m_handlers.reached(false, page.detail);
         m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
-        after(m_retry, [this] { m_isListed ? watch() : list({}); });
+        after(m_retry, [this] { m_isListed ? watch() : list(); });
     }
 
     void after(core::Duration wait, std::function<void()> action)
@@ -297,10 +346,9 @@
     Handlers m_handlers;
     FeedTiming m_timing;
     boost::asio::steady_timer m_timer;
-    std::vector<std::string> m_names;
+    PagedList<Value> m_list; ///< The list under way.
     core::FeedPosition m_position;
     core::StoreEra m_era = 0; ///< The latest known, and that of m_position once entries are listed.
-    core::StoreEra m_listEra = 0; ///< Of the first page of the list under way.
     core::StorePoint m_listedAt; ///< Of the latest whole list.
     core::Time m_completeAt{};
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -69,17 +69,22 @@
     , m_relistTimer(m_worker.context())
     , m_platform(makePlatform(m_worker.context()))
     , m_metricsServer(m_worker.context(), *this)
+    , m_relay(m_worker.context(), settings)
     , m_configs(m_worker.context(), m_platform->configs(),
-                {[this](const auto &entry) { configChanged(entry); },
-                 [](const auto &) {},
+                {[this](const auto &entry) { configChanged(entry); }, [](const auto &) {},
                  [this](bool isReachable, const std::string &detail) {
                      if (isReachable)
                          m_roster.configsAnswered(bootTime());
                      if (reached(isReachable, detail))
                          m_targetFeed.retryNow();
                  },
-                 {},
-                 [this](core::StoreEra era) { eraSeen(era); }},
+                 [this](const auto &page, std::uint64_t base) {
+                     keepForPeers(FeedRelay::Kind::Configs, m_configs, page, base);
+                 },
+                 [this](core::StoreEra era) { eraSeen(era); },
+                 [this](std::uint64_t revision, core::StoreEra era, auto done) {
+                     readNews(FeedRelay::Kind::Configs, revision, era, std::move(done));
+                 }},
                 configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
@@ -94,8 +99,14 @@
                         if (reached(isReachable, detail))
                             m_configs.retryNow();
                     },
-                    [this](const auto &entries, std::uint64_t base) { passOn(entries, base); },
-                    [this](core::StoreEra era) { eraSeen(era); }},
+                    [this](const auto &page, std::uint64_t base) {
+                        keepForPeers(FeedRelay::Kind::Targets, m_targetFeed, page, base);
+                        passOn(page.entries, base);
+                    },
+                    [this](core::StoreEra era) { eraSeen(era); },
+                    [this](std::uint64_t revision, core::StoreEra era, auto done) {
+                        readNews(FeedRelay::Kind::Targets, revision, era, std::move(done));
+                    }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
@@ -161,6 +172,10 @@
 
 void GatewayControl::handle(std::uint64_t, http::Request request, std::shared_ptr<http::Responder> responder)
 {
+    if (auto response = m_relay.respond(request, bootTime())) {
+        m_metrics.feedReadsServed.Increment();
+        return responder->send(std::move(*response));
+    }
     if (http::pathOf(request.target) != "/metrics")
         return responder->send({statusNotFound, {{"Content-Type", "text/plain"}}, "only /metrics is here\n"});
     responder->send({statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
@@ -305,6 +320,27 @@
         sendToAll(*notice);
 }
 
+template<typename Value>
+void GatewayControl::keepForPeers(FeedRelay::Kind kind, const FeedWatcher<Value> &feed,
+                                  const edges::FeedPage<Value> &page, std::uint64_t base)
+{
+    if (m_roster.mode() == core::WatchRoster::Mode::Watching)
+        m_relay.add(kind, {base, feed.position().changedAt, page.source}, feed.position().era);
+}
+
+/// Reads changes from the daemon that sent the latest notice of them.
+void GatewayControl::readNews(FeedRelay::Kind kind, std::uint64_t revision, core::StoreEra era,
+                              std::function<void(FeedRelay::Answers)> done)
+{
+    const auto peer = m_peers.find(m_newsFrom);
+    if (peer == m_peers.end())
+        return done({});
+    m_relay.read(peer->second.address, kind, revision, era, [this, done](const FeedRelay::Answers &answers) {
+        (answers.empty() ? m_metrics.feedReadsFailed : m_metrics.feedReads).Increment();
+        done(answers);
+    });
+}
+
 /// Tells the others of a few changed targets themselves, which saves each of them a call.
 void GatewayControl::passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base)
 {
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "feedrelay.h"
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
@@ -69,6 +70,11 @@
     bool reached(bool isReachable, const std::string &detail);
     void eraSeen(core::StoreEra era);
     void shareWatches();
+    template<typename Value>
+    void keepForPeers(FeedRelay::Kind kind, const FeedWatcher<Value> &feed, const edges::FeedPage<Value> &page,
+                      std::uint64_t base);
+    void readNews(FeedRelay::Kind kind, std::uint64_t revision, core::StoreEra era,
+                  std::function<void(FeedRelay::Answers)> done);
     void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
     void setPauses();
     void publishTargets();
@@ -144,6 +150,8 @@
     boost::asio::steady_timer m_relistTimer;
     std::unique_ptr<edges::GatewayPlatform> m_platform;
     http::Server m_metricsServer;
+    FeedRelay m_relay;
+    std::string m_newsFrom; ///< The daemon whose notice has come last.
     FeedWatcher<core::GatewayConfig> m_configs;
     FeedWatcher<core::RegisteredTarget> m_targetFeed;
     boost::asio::ip::udp::socket m_socket;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -216,8 +216,9 @@
     carryOut(m_quarantines.daemonStarted(from, bootTime()), from);
 }
 
-void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
+void GatewayControl::heard(const std::string &from, const core::WatchNotice &message)
 {
+    m_newsFrom = from;
     const core::Time now = bootTime();
     eraSeen(std::max(message.configs.era, message.targets.era));
     m_roster.noticeReceived(message, now);
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -24,6 +24,8 @@
     , m_permits(
           counters(m_registry, "sardinehinge_permits_total",
                    "Permits for rate-limited targets that this daemon got, and requests for them not met in full"))
+    , m_feedReads(counters(m_registry, "sardinehinge_feed_reads_total",
+                           "Changes of configurations and targets read from daemons that watch the store"))
     , requestsDone(m_requests.Add({{"outcome", "done"}}))
     , requestsNotRun(m_requests.Add({{"outcome", "not_run"}}))
     , requestsUnknown(m_requests.Add({{"outcome", "unknown"}}))
@@ -43,6 +45,9 @@
     , requestsQuarantined(counters(m_registry, "sardinehinge_requests_quarantined_total",
                                    "Callers' requests that were rejected because targets that ran equal ones crashed")
                               .Add({}))
+    , feedReads(m_feedReads.Add({{"outcome", "read"}}))
+    , feedReadsFailed(m_feedReads.Add({{"outcome", "failed"}}))
+    , feedReadsServed(m_feedReads.Add({{"outcome", "served"}}))
     , permitsGranted(m_permits.Add({{"outcome", "granted"}}))
     , permitsDenied(m_permits.Add({{"outcome", "denied"}}))
 {
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -46,6 +46,7 @@
     bool hasMore = false;
     std::string detail;
     core::StoreEra era = 0; ///< Of the revision.
+    std::string source; ///< A watch's answer as the store wrote it, for Feed::read() on another daemon.
 };
 
 /// Objects of one kind in the platform's store.
@@ -64,6 +65,8 @@
     virtual void list(const std::string &after, Callback done) = 0;
     /// Changes since `revision`, as soon as there are any; an empty page after `wait`.
     virtual void watch(std::uint64_t revision, core::Duration wait, Callback done) = 0;
+    /// Reads FeedPage::source of another daemon's watch. The outcome isn't Ok if it can't be read.
+    virtual FeedPage<Value> read(const std::string &) const { return {}; }
 };
 
 /// An ownership record and its revision.
@@ -97,7 +100,7 @@
 {
 public:
     /// As list(), but the answer may be some seconds old, which costs the store less.
-    virtual void listOutdated(const std::string &after, Callback done) = 0;
+    virtual void listOutdated(const std::string &after, Callback done) { list(after, std::move(done)); }
     /// Enters this daemon. With an incarnation of 0 it is a new one: the reply's is larger than that of every earlier
     /// life under the same id. Otherwise the entry is written again under that incarnation, if the store has lost it.
     virtual void enter(const core::PeerDaemon &self, std::function<void(StoreOutcome, std::uint64_t incarnation)> done)
