Read all pages of the list of daemons

With more daemons, those on later pages were known only once they had sent a datagram themselves, and a daemon that starts greets only those it knows.

Change: listPeers() joins the pages with PagedList, as the feeds do; a list that begins while another is read replaces it, and a page of another era begins it again. Daemons that enter between two pages need no watch: their entry is newer than this daemon's, so their own list shows it, and they greet it. Each page counts as a list read in the metrics.

Test: "All daemons are known from a list of several pages..." (pages of 1, 4, 5 and 100, with and without a store that returns between two pages).

--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -114,6 +114,8 @@
     // The other daemons. In gatewaycontrol_peers.cpp.
     void enter();
     void listPeers();
+    void listMorePeers();
+    void takePeers(const edges::FeedPage<core::PeerDaemon> &page);
     void addPeer(const core::PeerDaemon &peer);
     void publishPeers();
     void receive();
@@ -153,6 +155,8 @@
     core::DaemonIdentity m_self;
     bool m_hasEntered = false;
     core::Time m_enteredAt{}; ///< When the store last confirmed this daemon's entry.
+    PagedList<core::PeerDaemon> m_peerList; ///< The list under way.
+    std::uint64_t m_peerRound = 0; ///< Pages of earlier lists of the others are dropped.
     bool m_hasGreeted = false; ///< All that were known after the first list.
     std::mt19937 m_random{std::random_device{}()};
     bool m_hasTargets = false;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -57,29 +57,51 @@
 /// Lists the other daemons: at the start, once more for those that started at the same time, and after an era change.
 /// All others make themselves known.
 void GatewayControl::listPeers()
+{
+    m_peerList.begin();
+    ++m_peerRound;
+    listMorePeers();
+}
+
+void GatewayControl::listMorePeers()
 {
     m_metrics.listReads.Increment();
-    m_platform->peers().list({}, [this](const edges::FeedPage<core::PeerDaemon> &page) {
-        eraSeen(page.era);
-        if (page.outcome != edges::StoreOutcome::Ok || page.era < m_era)
-            return callAfter(m_peersTimer, storeRetry, [this] { listPeers(); });
-        const protocol::Hello hello{m_settings.peerAddress, false, m_settings.linkMbps};
-        for (const auto &entry : page.entries) {
-            if (!entry.value || entry.name == m_self.id)
-                continue;
-            const auto known = m_peers.find(entry.name);
-            const bool isNew = known == m_peers.end() || known->second.incarnation < entry.value->incarnation;
-            core::PeerDaemon peer = *entry.value;
-            // The address that its datagrams come from is the one to answer to.
-            if (!isNew)
-                peer.address = known->second.address;
-            addPeer(peer);
-            if (isNew && m_hasGreeted)
-                send(entry.name, hello);
-        }
-        if (!std::exchange(m_hasGreeted, true))
-            sendToAll(hello);
-    });
+    m_platform->peers().list(m_peerList.after(),
+                             [this, round = m_peerRound](const edges::FeedPage<core::PeerDaemon> &page) {
+                                 if (round == m_peerRound)
+                                     takePeers(page);
+                             });
+}
+
+/// Those that enter between two pages greet this daemon, whose entry is older than theirs.
+void GatewayControl::takePeers(const edges::FeedPage<core::PeerDaemon> &page)
+{
+    using Progress = PagedList<core::PeerDaemon>::Progress;
+    eraSeen(page.era);
+    const bool isOutdated = page.outcome == edges::StoreOutcome::Ok && page.era < m_era;
+    const Progress progress = isOutdated ? Progress::Broken : m_peerList.take(page, bootTime());
+    if (progress == Progress::Broken)
+        return callAfter(m_peersTimer, storeRetry, [this] { listPeers(); });
+    if (progress == Progress::OtherEra)
+        return listPeers();
+    const protocol::Hello hello{m_settings.peerAddress, false, m_settings.linkMbps};
+    for (const auto &entry : page.entries) {
+        if (!entry.value || entry.name == m_self.id)
+            continue;
+        const auto known = m_peers.find(entry.name);
+        const bool isNew = known == m_peers.end() || known->second.incarnation < entry.value->incarnation;
+        core::PeerDaemon peer = *entry.value;
+        // The address that its datagrams come from is the one to answer to.
+        if (!isNew)
+            peer.address = known->second.address;
+        addPeer(peer);
+        if (isNew && m_hasGreeted)
+            send(entry.name, hello);
+    }
+    if (progress == Progress::Continues)
+        listMorePeers();
+    else if (!std::exchange(m_hasGreeted, true))
+        sendToAll(hello);
 }
 
 void GatewayControl::addPeer(const core::PeerDaemon &peer)
--- a/packages/daemon/tests/gatewaycontrol_test.cpp
+++ b/packages/daemon/tests/gatewaycontrol_test.cpp
@@ -30,6 +30,8 @@
     std::map<std::string, Object<core::PeerDaemon>> peers;
     std::size_t feedLists = 0;
     std::size_t peerLists = 0;
+    std::size_t pageSize = 1000; ///< Of lists of daemons.
+    std::function<void()> peerPageRead; ///< Called after the next page of such a list, with the lock held.
     std::size_t enters = 0;
     std::size_t entryWrites = 0;
 };
@@ -56,6 +58,23 @@
         ++(m_store.*m_lists);
         boost::asio::post(m_context, [done, page = changesAfter(0)] { done(page); });
     }
+    void listPage(const std::string &after, Callback done)
+    {
+        const std::lock_guard lock(m_store.mutex);
+        if (after.empty())
+            ++(m_store.*m_lists);
+        edges::FeedPage<Value> page{edges::StoreOutcome::Ok, {}, m_store.revision, false, {}, m_store.era};
+        const Objects &objects = m_store.*m_objects;
+        for (auto next = objects.upper_bound(after); next != objects.end(); ++next) {
+            page.hasMore = page.entries.size() == m_store.pageSize;
+            if (page.hasMore)
+                break;
+            page.entries.push_back({next->first, next->second.value, {}});
+        }
+        if (const auto action = std::exchange(m_store.peerPageRead, nullptr))
+            action();
+        boost::asio::post(m_context, [done, page] { done(page); });
+    }
     /// Answers after a short wait, with or without changes.
     void watch(std::uint64_t revision, Callback done)
     {
@@ -116,7 +135,7 @@
         , m_feed(context, store, &FakeStore::peers, &FakeStore::peerLists)
     {
     }
-    void list(const std::string &, Callback done) override { m_feed.list(done); }
+    void list(const std::string &after, Callback done) override { m_feed.listPage(after, done); }
     void watch(std::uint64_t revision, core::Duration, Callback done) override { m_feed.watch(revision, done); }
     void enter(const core::PeerDaemon &self, std::function<void(edges::StoreOutcome, std::uint64_t)> done) override
     {
@@ -178,11 +197,12 @@
 class Control
 {
 public:
-    Control()
+    explicit Control(const std::function<void(FakeStore &)> &prepare = [](FakeStore &) {})
         : m_control(
             settings(), [this](auto &context) { return std::make_unique<FakePlatform>(context, store); }, m_events,
             m_metrics, [this](const daemon::ToTraffic &update) { return take(update); })
     {
+        prepare(store);
         REQUIRE(core::errorIn(m_control.start()) == nullptr);
     }
 
@@ -303,3 +323,21 @@
     CHECK(control.store.entryWrites == 1);
     CHECK(control.store.peerLists == 1);
 }
+
+TEST_CASE("All daemons are known from a list of several pages, and from the next one if the store returned meanwhile")
+{
+    const std::size_t pageSize = GENERATE(1, 4, 5, 100);
+    const bool isRestored = GENERATE(false, true);
+    constexpr std::size_t others = 9;
+    INFO("page size " << pageSize << ", restored " << isRestored);
+    Control control([&](FakeStore &store) {
+        store.pageSize = pageSize;
+        for (std::size_t index = 0; index < others; ++index) {
+            const std::string name = "peer" + std::to_string(index);
+            store.peers[name] = {{name, 50 + index, "127.0.0.1:1", 0}, 50 + index};
+        }
+        // After the first page.
+        store.peerPageRead = [&store, isRestored] { store.era += isRestored ? 1 : 0; };
+    });
+    CHECK(control.waitFor([&] { return control.count(core::events::peerJoined) == others; }, 3s));
+}
