Give a restarted daemon its share of the retry slack after a window

Cause: RetryBudget is forgotten by a restart, so each new life had its whole share of the slack again: a fleet that is killed inside one window could exceed the allowance by nearly the slack, and by it again for each further kill.

Change: unless the settings say that the whole system starts for the first time, a daemon has no slack until its earlier life's last retry is a window ago (11 s with a window of 10 s). Retries in proportion to its own requests go on.

Weighed: a share that grows over the window still allows up to twice the slack, as the earlier life's share is spent at once. No retry at all in the first window would close the rest, too (retries of a whole window within moments, then a kill), but costs every restart 11 s of retries.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -207,6 +207,8 @@
     void setLimits(const GatewayLimits &limits) { m_limits = limits; }
     /// Sets how many daemons share the retry allowance; 0 counts as 1.
     void setDaemonCount(std::size_t count) { m_daemonCount = std::max<std::size_t>(count, 1); }
+    /// The daemon starts now, and an earlier life of it may have run just before. See allowanceAfterRestart().
+    void setRestarted(Time now) noexcept { m_restartedAt = now; }
     Effects setTargets(const std::vector<RegisteredTarget> &targets, Time now);
     Effects setOwners(const RangeOwners &owners, Time now);
 
@@ -352,6 +354,10 @@
     /// Whether the request may be sent again. If so, takes one retry from the budget, unless nothing was sent before.
     bool tryClaimRetry(Request &request, AttemptEnd end, bool isServerError, Time now);
     Duration retryWait(const Request &request) const;
+    RetryAllowance retryAllowance(Time now) const noexcept
+    {
+        return m_restartedAt ? allowanceAfterRestart(m_limits.retries, now - *m_restartedAt) : m_limits.retries;
+    }
     void retry(Request &request, AttemptEnd end, Time now);
     void recordResult(Request &request, const GatewayAttemptEnd &end, Time now);
     Duration retryAfter(const Request &request, Duration base);
@@ -364,6 +370,7 @@
     std::string m_failureDomain;
     std::mt19937_64 m_random;
     std::size_t m_daemonCount = 1;
+    std::optional<Time> m_restartedAt;
     std::optional<std::uint64_t> m_configVersion;
     RouteTable m_routes;
     std::map<std::string, WeightedRoundRobin> m_splits; ///< By route name.
--- a/packages/core/include/sardinehinge/core/retrybudget.h
+++ b/packages/core/include/sardinehinge/core/retrybudget.h
@@ -21,6 +21,18 @@
     bool operator==(const RetryAllowance &) const = default;
 };
 
+/// Longest time from granting a retry until it reaches a target: up to 0.5 s for its key's next owner, 0.25 s for a
+/// connection, and the wait for network link capacity.
+constexpr Duration maxRetrySendDelay = std::chrono::milliseconds(1000);
+
+/// Returns the allowance of a daemon that started again `age` ago. Its earlier life may have spent its share of the
+/// slack just before, so the new one has none until the last retry of that life is a window ago.
+///
+/// What the earlier life may have spent in proportion to its requests isn't taken off: in a steady rate it leaves room
+/// for the new one's, but a fleet that sends on the retries of a whole window in moments, and is killed then, may
+/// exceed the allowance. To rule that out, a daemon would send no retry in its first window.
+RetryAllowance allowanceAfterRestart(const RetryAllowance &allowance, Duration age) noexcept;
+
 /// One daemon's share of a service's retry allowance. The daemons need no messages to stay within the allowance
 /// together: each one spends its share of the slack, and retries in proportion to the requests that it received itself.
 ///
@@ -38,9 +50,6 @@
 private:
     /// Events are counted in steps of this length, which bounds the number of entries per window.
     static constexpr Duration step = std::chrono::milliseconds(250);
-    /// Longest time from granting a retry until it reaches a target: up to 0.5 s for its key's next owner, 0.25 s for a
-    /// connection, and the wait for network link capacity.
-    static constexpr Duration maxSendDelay = std::chrono::milliseconds(1000);
     /// Bounds the memory per service: 400 steps are 100 s, longer than any two windows.
     static constexpr std::size_t maxEntries = 400;
 
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -306,7 +306,7 @@
     if (request.attempts >= maxSends || request.deadline - now < request.route->latencyObjective / 8)
         return false;
     return end == AttemptEnd::NothingSent
-        || serviceOf(request.service).budget.trySpend(m_limits.retries, m_daemonCount, now);
+        || serviceOf(request.service).budget.trySpend(retryAllowance(now), m_daemonCount, now);
 }
 
 bool GatewayRouter::wasShedWithoutQueue(const Request &request, AttemptEnd end)
--- a/packages/core/src/retrybudget.cpp
+++ b/packages/core/src/retrybudget.cpp
@@ -4,6 +4,14 @@
 
 namespace sardinehinge::core {
 
+RetryAllowance allowanceAfterRestart(const RetryAllowance &allowance, Duration age) noexcept
+{
+    RetryAllowance own = allowance;
+    if (age < allowance.window + maxRetrySendDelay)
+        own.slack = 0;
+    return own;
+}
+
 RetryBudget::Sums::Sums(const std::deque<Entry> &entries, std::int64_t first, std::int64_t last)
     : m_first(first)
     , m_before(static_cast<std::size_t>(last - first + 2))
@@ -43,7 +51,7 @@
 {
     const std::int64_t current = now / step;
     const std::int64_t window = allowance.window / step;
-    const std::int64_t sendDelay = maxSendDelay / step;
+    const std::int64_t sendDelay = maxRetrySendDelay / step;
     const std::int64_t oldest = current - (2 * window) - sendDelay;
     const Sums requests(m_requests, oldest, current);
     const Sums retries(m_retries, oldest, current);
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -186,6 +186,8 @@
         m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=\"" + detail + "\"");
     });
     m_router.setDaemonCount(settings.daemons);
+    if (!settings.isFirstStart)
+        m_router.setRestarted(bootTime());
     for (std::size_t index = 0; index < core::targetConditions; ++index)
         m_metrics.addGauge("sardinehinge_targets", "Known targets by condition",
                            {{"condition", conditionNames.at(index)}},
