--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -46,7 +46,7 @@
     bool hasMore = false;
     std::string detail;
     core::StoreEra era = 0; ///< Of the revision.
-    std::string source; ///< A watch's answer as the store wrote it, for Feed::read() on another daemon.
+    std::string source = {}; ///< A watch's answer as the store wrote it, for Feed::read() on another daemon.
 };
 
 /// Objects of one kind in the platform's store.
