Choose leases that outlast a service's longest requests

Cause: a target ends work that outlasts the lease under which it began, also when the lease was renewed meanwhile. Change: the shortest lease follows the longest timeout among a service's routes; a renewal leaves three quarters of it.

--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -187,7 +187,7 @@
                             + " faults=" + std::to_string(faults.size()) + " reason=\"" + faults[index] + "\"");
     for (const core::BackendService &service : entry.value->services) {
         if (service.isSharded)
-            serviceOf(service.name);
+            serviceOf(service.name).longestRequest = core::longestRequestTime(*entry.value, service.name);
     }
     m_tellTraffic(GatewayConfigUpdate{*entry.value});
 }
@@ -352,8 +352,8 @@
         if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
             continue;
         if (service.control == nullptr) {
-            service.control = std::make_unique<core::RangeControl>(name, m_self, now, core::OwnershipTiming{},
-                                                                   m_settings.isFirstStart);
+            service.control = std::make_unique<core::RangeControl>(
+                name, m_self, now, core::timingForRequests(service.longestRequest), m_settings.isFirstStart);
             run(name, core::StoreEraSeen{m_era});
             std::vector<core::PeerDaemon> peers;
             for (const auto &[id, peer] : m_peers)
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -5,6 +5,7 @@
 
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
+#include <sardinehinge/core/ownership/leasechoice.h>
 #include <sardinehinge/core/quarantinekeeper.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/ratepermits.h>
@@ -57,6 +58,7 @@
     {
         std::unique_ptr<core::RangeControl> control;
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
+        core::Duration longestRequest{}; ///< By the configuration; see core::longestRequestTime().
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
     };
 
