Read requests of a connection ahead and run those that may be repeated beside each other

Cause: the server read one request per connection at a time. A close by the daemon was ruled out: no E628 with another reason. Change: RequestLine (pure) orders the requests of a connection: read ahead up to a depth of 16 and 256 KiB, those of repeatable routes beside each other, others alone after the responses before them. A drain answers what was started and starts no more; bytes that are no request are rejected in their place; a caller that leaves is noticed for each request, also behind unread input (TCP state, every 100 ms). The last response is followed by a half-close and up to a second of discarding, since closing with unread input resets the connection. Writing fails after a time without progress instead of a fixed time, and frees what was written. A request held past its caller's time is refused as not run. server.cpp is split into connection, connection_reading, requestline, responsewriter and serverstate. Measured: http_tests 43 cases, gateway_tests pass.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -238,6 +238,11 @@
     /// Returns the mean relative latency, by target id, of the targets that served enough requests since their last
     /// value was returned. See TargetScore::takeMeanRelativeLatency().
     std::map<std::string, double> takeRelativeLatencies(const std::string &service);
+    /// The route that matches a request now, or nullptr. Valid until the next configuration.
+    const RouteRule *routeFor(std::string_view host, std::string_view path) const noexcept
+    {
+        return m_routes.find(host, path);
+    }
     bool hasConfig() const noexcept { return m_configVersion.has_value(); }
     std::uint64_t configVersion() const noexcept { return m_configVersion.value_or(0); }
     const RangeOwners *owners(const std::string &service) const noexcept;
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -116,6 +116,10 @@
     Duration allowed = head.callerTimeout.value_or(defaultCallerTimeout);
     if (route->timeout > 0ms)
         allowed = std::min(allowed, route->timeout);
+    if (allowed <= 0ms) {
+        reject(request, GatewayError::TimedOut, "the caller's time has passed", 0ms);
+        return takeEffects();
+    }
     request.deadline = now + allowed;
     request.queueDeadline
         = now + std::chrono::duration_cast<Duration>(m_limits.queueTimeFraction * route->latencyObjective);
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -1,5 +1,6 @@
 #include "gatewaytraffic.h"
 
+#include <sardinehinge/core/admission/pipelining.h>
 #include <sardinehinge/core/eventnumbers.h>
 
 #include <random>
@@ -18,7 +19,7 @@
 constexpr std::chrono::milliseconds surveyPeriod(500);
 /// Descriptors that aren't for callers: files, the store, peers and connections to targets.
 constexpr std::size_t reservedDescriptors = 1200;
-/// A caller that doesn't read its answer for so long is given up.
+/// A caller that reads nothing of its answer for so long is given up.
 constexpr std::chrono::seconds writeTime(20);
 
 constexpr int statusNotFound = 404;
@@ -295,11 +296,19 @@
     carryOut(m_router.quarantineChanged(quarantine, bootTime()));
 }
 
+bool GatewayTraffic::mayRunBeside(const http::Request &request) const
+{
+    const std::string host = http::headerValue(request.headers, "Host").value_or(std::string());
+    return core::mayRunBesideOthers(m_router.routeFor(host, http::pathOf(request.target)));
+}
+
 void GatewayTraffic::handle(std::uint64_t id, http::Request request, std::shared_ptr<http::Responder> responder)
 {
     const core::Time now = bootTime();
     edges::CallerHead head = m_dialect->readHead(request);
     head.request.id = id;
+    if (head.request.callerTimeout)
+        head.request.callerTimeout = std::max(*head.request.callerTimeout - request.waited, core::Duration(0));
     Exchange &exchange = m_exchanges[id];
     exchange.message = std::move(request);
     exchange.requestId = std::move(head.requestId);
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -72,6 +72,7 @@
         http::Response answer; ///< Of the latest attempt that was answered.
     };
 
+    bool mayRunBeside(const http::Request &request) const override;
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
     void callerDisconnected(std::uint64_t exchange) override;
     http::Response rejection(int status, const std::string &detail, const std::string &peer) override;
--- a/packages/http/include/sardinehinge/http/message.h
+++ b/packages/http/include/sardinehinge/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
     Headers headers;
     std::string body;
     std::string peer; ///< IP address and port of the sender; set by the server, ignored by the client.
+    /// From reading until handling, behind other requests of its connection; set by the server, ignored by the client.
+    std::chrono::milliseconds waited{0};
 
     bool operator==(const Request &) const = default;
 };
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -21,7 +21,12 @@
     /// For a whole request, from its first byte.
     core::Duration readTimeout = core::Duration(std::chrono::seconds(10));
     core::Duration idleTimeout = core::Duration(std::chrono::seconds(60)); ///< Between two requests of a connection.
-    core::Duration writeTimeout = core::Duration(std::chrono::seconds(10)); ///< For a whole response.
+    /// In which a caller must read a part of its response, however small.
+    core::Duration writeTimeout = core::Duration(std::chrono::seconds(10));
+    std::size_t pipelinedRequests = 16; ///< Of one connection, read and not yet answered; further ones aren't read.
+    /// Of one connection: requests and responses that wait for their turn. Beyond, no further request is read, and none
+    /// is handled beside another.
+    std::size_t pipelinedBytes = 256 * 1024UL;
 
     bool operator==(const ServerLimits &) const = default;
 };
@@ -54,11 +59,14 @@
     bool operator==(const ConnectionEnd &) const = default;
 };
 
-/// Handles the requests of a server. Called on the server's io_context, with one request per connection at a time.
+/// Handles the requests of a server. Called on the server's io_context.
 class RequestHandler
 {
 public:
     virtual ~RequestHandler() = default;
+    /// Whether `request` may be handled while others of its connection are, if this holds for all of them. Any other
+    /// request is handled alone, after the responses before it were written.
+    virtual bool mayRunBeside(const Request &) const { return false; }
     /// Handles a completely received request. `exchange` identifies the request in callerDisconnected().
     virtual void handle(std::uint64_t exchange, Request request, std::shared_ptr<Responder> responder) = 0;
     /// Called when the caller closes its connection, or its sending side, before the response was sent.
@@ -71,9 +79,10 @@
 
 /// A strict HTTP/1.1 server over Boost.Beast.
 ///
-/// Responses are sent in the order of the requests, since the next request is read after the response to the previous
-/// one. Conflicting, repeated or negative lengths, unknown transfer codings, oversized headers or bodies and slow
-/// requests are rejected with 400, 408, 413 or 431 and the connection is closed; they don't reach handle().
+/// Requests are read ahead, within the limits, and responses are sent in the order of the requests. Before a connection
+/// closes, all requests that the handler has received are answered; those behind them count as not read. Conflicting,
+/// repeated or negative lengths, unknown transfer codings, oversized headers or bodies and slow requests are rejected
+/// with 400, 408, 413 or 431 and the connection is closed; they don't reach handle().
 class Server
 {
 public:
@@ -91,8 +100,8 @@
     /// From now on each response closes its connection, so that callers reconnect, possibly to another instance.
     void disableKeepAlive();
     /// Closes the listening socket and every idle connection. Connections on which a request has arrived, though it may
-    /// not have been read yet, close after its response. Those that haven't brought a request yet, including the ones
-    /// that wait to be accepted, get half a second for it.
+    /// not have been read yet, close after its response, or after those of all requests that the handler has received.
+    /// Those that haven't brought a request yet, including the ones that wait to be accepted, get half a second for it.
     void drain();
     /// Number of open connections. Thread-safe.
     std::size_t connections() const noexcept;
--- /dev/null
+++ b/packages/http/src/serverstate.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <sardinehinge/http/server.h>
+
+#include <atomic>
+#include <functional>
+#include <set>
+
+namespace sardinehinge::http {
+
+namespace internal {
+class Connection;
+}
+
+/// What the connections of a server share.
+struct Server::State : std::enable_shared_from_this<Server::State>
+{
+    State(boost::asio::io_context &ioContext, RequestHandler &requestHandler, ServerLimits serverLimits)
+        : context(ioContext)
+        , acceptor(ioContext)
+        , handler(requestHandler)
+        , limits(serverLimits)
+    {
+    }
+
+    void accept();
+    void take(boost::asio::ip::tcp::socket socket);
+    void acceptPending();
+    void forEachConnection(const std::function<void(internal::Connection &)> &action);
+
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    RequestHandler &handler;
+    ServerLimits limits;
+    std::set<internal::Connection *> open;
+    std::uint64_t nextExchange = 1;
+    std::atomic<std::size_t> openCount = 0;
+    bool isKeepAliveDisabled = false; ///< Each connection closes after the requests that were started.
+    bool isDraining = false;
+    bool isStopped = false;
+};
+
+} // namespace sardinehinge::http
