Serve operators' evacuations of failure domains

Change: a new feed of evacuated failure domains, read if the settings name their bound. The pure class Evacuations keeps them; all targets of such a domain are published as draining, so requests go elsewhere and keys are handed over in order. The daemons that watch the store for all put the whole list into their notices: a change costs no call. No targets are published before the evacuations are known. An entry that a store has lost with its latest changes stays in force for 5 s.

Ruled out: a watch of every daemon, and a call of every daemon for each change (docs/design/evacuations.md).

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -77,5 +77,8 @@
 constexpr std::uint32_t crashCounted = 641;
 constexpr std::uint32_t requestQuarantined = 642;
 constexpr std::uint32_t quarantineEnded = 643;
+constexpr std::uint32_t evacuationBegan = 670;
+constexpr std::uint32_t evacuationEnded = 671;
+constexpr std::uint32_t evacuationComplete = 672;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/include/sardinehinge/core/watchroster.h
+++ b/packages/core/include/sardinehinge/core/watchroster.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sardinehinge::core {
 
@@ -16,6 +17,9 @@
     FeedPosition configs;
     FeedPosition targets;
     Duration age = 0ms; ///< Time since the store answered the sender's watches; the older of the two.
+    FeedPosition evacuations = {}; ///< Of era 0 if the sender doesn't read evacuations.
+    /// All evacuated failure domains as of `evacuations`; std::nullopt if they are too many for a notice.
+    std::optional<std::vector<std::string>> evacuatedDomains = std::nullopt;
 
     bool operator==(const WatchNotice &) const = default;
 };
@@ -67,9 +71,11 @@
     /// Updates and returns the mode. Call several times a second.
     Mode tick(Time now);
     Mode mode() const noexcept { return m_mode; }
-    /// Returns the notice to send to all other daemons, if one is due. `configs` and `targets`: this daemon's
-    /// positions.
-    std::optional<WatchNotice> takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now);
+    const RosterTiming &timing() const noexcept { return m_timing; }
+    /// Returns the notice to send to all other daemons, if one is due. `configs`, `targets` and
+    /// `evacuations`: this daemon's positions. The evacuated failure domains are left out.
+    std::optional<WatchNotice> takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now,
+                                          const FeedPosition &evacuations = {});
 
 private:
     Time answeredAt() const noexcept { return std::min(m_configsAnsweredAt, m_targetsAnsweredAt); }
@@ -93,6 +99,7 @@
     Time m_nextNotice = 0ms;
     FeedPosition m_announcedConfigs;
     FeedPosition m_announcedTargets;
+    FeedPosition m_announcedEvacuations;
 };
 
 } // namespace sardinehinge::core
--- a/packages/core/src/watchroster.cpp
+++ b/packages/core/src/watchroster.cpp
@@ -106,18 +106,21 @@
     return m_mode;
 }
 
-std::optional<WatchNotice> WatchRoster::takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now)
+std::optional<WatchNotice> WatchRoster::takeNotice(const FeedPosition &configs, const FeedPosition &targets, Time now,
+                                                   const FeedPosition &evacuations)
 {
     if (m_mode != Mode::Watching || !isFresh(answeredAt(), now) || std::min(configs.era, targets.era) < m_era)
         return std::nullopt;
-    const bool isNews
-        = configs.changed() != m_announcedConfigs.changed() || targets.changed() != m_announcedTargets.changed();
+    const bool isNews = configs.changed() != m_announcedConfigs.changed()
+        || targets.changed() != m_announcedTargets.changed()
+        || evacuations.changed() != m_announcedEvacuations.changed();
     if (!isNews && now < m_nextNotice)
         return std::nullopt;
     m_nextNotice = now + m_timing.noticeInterval;
     m_announcedConfigs = configs;
     m_announcedTargets = targets;
-    return WatchNotice{m_self, configs, targets, now - answeredAt()};
+    m_announcedEvacuations = evacuations;
+    return WatchNotice{m_self, configs, targets, now - answeredAt(), evacuations};
 }
 
 } // namespace sardinehinge::core
--- a/packages/core/tests/watchroster_test.cpp
+++ b/packages/core/tests/watchroster_test.cpp
@@ -258,3 +258,21 @@
     watching.eraSeen(2);
     CHECK(watching.takeNotice(configs, targets, 102s).has_value() == (mode == WatchRoster::Mode::Following));
 }
+
+TEST_CASE("A changed evacuation is noticed at once, like other changes")
+{
+    WatchRoster roster("self", 0ms);
+    Time now = 0ms;
+    for (; roster.mode() != WatchRoster::Mode::Watching; now += 50ms) {
+        roster.configsAnswered(now);
+        roster.targetsAnswered(now);
+        roster.tick(now);
+    }
+    const FeedPosition position{10, 12, 0, 1};
+    REQUIRE(roster.takeNotice(position, position, now, position));
+    CHECK_FALSE(roster.takeNotice(position, position, now, position));
+    const FeedPosition changed{13, 13, 0, 1};
+    const auto notice = roster.takeNotice(position, position, now, changed);
+    REQUIRE(notice);
+    CHECK(notice->evacuations == changed);
+}
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -22,17 +22,10 @@
 constexpr int statusNotFound = 404;
 constexpr int statusOk = 200;
 
-/// Pause of a daemon that isn't watching for others, for each daemon: the calls that a series of changes costs the
-/// store stay the same whatever the size of the fleet. The longest leaves time for a lost notice and a lost answer
-/// within the users' shortest bound of 2 s.
-constexpr std::chrono::milliseconds pausePerDaemon(9);
-constexpr std::chrono::milliseconds longestPause(800);
-/// Changes of targets that are told to the others; more at once would hold up a narrow link, so they call the store.
-constexpr std::size_t mostPassedOn = 12;
-
 core::RosterTiming rosterTiming(const edges::GatewaySettings &settings)
 {
-    return core::RosterTiming::forBound(std::min(settings.changeBound, settings.drainBound));
+    const core::Duration bound = std::min(settings.changeBound, settings.drainBound);
+    return core::RosterTiming::forBound(std::min(bound, settings.evacuationBound.value_or(bound)));
 }
 
 core::RegistryTiming registryTiming(const edges::GatewaySettings &settings)
@@ -42,19 +35,6 @@
     return timing;
 }
 
-const char *nameOf(core::WatchRoster::Mode mode)
-{
-    switch (mode) {
-    case core::WatchRoster::Mode::Standalone:
-        return "alone";
-    case core::WatchRoster::Mode::Watching:
-        return "watching";
-    case core::WatchRoster::Mode::Following:
-        return "following";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 GatewayControl::GatewayControl(const edges::GatewaySettings &settings, const PlatformMaker &makePlatform,
@@ -75,8 +55,10 @@
                  [this](bool isReachable, const std::string &detail) {
                      if (isReachable)
                          m_roster.configsAnswered(bootTime());
-                     if (reached(isReachable, detail))
+                     if (reached(isReachable, detail)) {
                          m_targetFeed.retryNow();
+                         retryEvacuations();
+                     }
                  },
                  {},
                  [this](core::StoreEra era) { eraSeen(era); }},
@@ -86,13 +68,16 @@
                     [this](const std::vector<std::string> &names) {
                         m_registry.keepOnly(names, bootTime(), m_targetFeed.completeAt());
                         m_hasTargets = true;
-                        publishTargets();
+                        if (hasLists())
+                            publishTargets();
                     },
                     [this](bool isReachable, const std::string &detail) {
                         if (isReachable)
                             m_roster.targetsAnswered(bootTime());
-                        if (reached(isReachable, detail))
+                        if (reached(isReachable, detail)) {
                             m_configs.retryNow();
+                            retryEvacuations();
+                        }
                     },
                     [this](const auto &entries, std::uint64_t base) { passOn(entries, base); },
                     [this](core::StoreEra era) { eraSeen(era); }},
@@ -114,6 +99,8 @@
     });
     m_metrics.addGauge("sardinehinge_quarantined_requests", "Requests that no target is sent, by fingerprint", {},
                        [this] { return static_cast<double>(m_quarantineCount.load()); });
+    m_metrics.addGauge("sardinehinge_evacuated_failure_domains", "Failure domains whose targets get no requests", {},
+                       [this] { return static_cast<double>(m_evacuatedDomains.load()); });
 }
 
 GatewayControl::~GatewayControl()
@@ -140,6 +127,7 @@
     boost::asio::post(m_worker.context(), [this] {
         m_configs.start();
         m_targetFeed.start();
+        startEvacuationFeed();
         enter();
         onTimer();
     });
@@ -215,7 +203,7 @@
         m_registry.remove(entry.name, now, m_targetFeed.completeAt());
     }
     // Once for all entries of a response: each publication costs time for every target.
-    if (!m_hasTargets || std::exchange(m_isPublicationScheduled, true))
+    if (!hasLists() || std::exchange(m_isPublicationScheduled, true))
         return;
     boost::asio::post(m_worker.context(), [this] {
         m_isPublicationScheduled = false;
@@ -250,10 +238,14 @@
     m_events.record(isFirst ? Severity::Info : Severity::Warning, core::events::storeEraSeen,
                     "era=" + std::to_string(era) + " before=" + std::to_string(before));
     m_roster.eraSeen(era);
-    if (!isFirst)
+    if (!isFirst) {
         m_registry.eraChanged(bootTime());
+        m_evacuations.eraChanged();
+    }
     m_configs.eraSeen(era);
     m_targetFeed.eraSeen(era);
+    if (m_evacuationFeed)
+        m_evacuationFeed->eraSeen(era);
     for (const auto &[name, service] : m_services)
         run(name, core::StoreEraSeen{era});
     if (isFirst)
@@ -271,56 +263,15 @@
     });
 }
 
-/// A watching daemon takes in changes quickly, since all others learn of them from it.
-void GatewayControl::setPauses()
-{
-    const bool isSparing = m_roster.mode() != core::WatchRoster::Mode::Watching;
-    const auto pause
-        = isSparing ? std::min<core::Duration>(pausePerDaemon * (m_peers.size() + 1), longestPause) : core::Duration(0);
-    m_configs.setSparing(pause);
-    m_targetFeed.setSparing(pause);
-}
-
-/// Takes this daemon's part in watching the store for all.
-void GatewayControl::shareWatches()
-{
-    const core::Time now = bootTime();
-    const auto before = m_roster.mode();
-    const auto mode = m_roster.tick(now);
-    if (mode != before) {
-        m_events.record(Severity::Info, core::events::watchModeChanged,
-                        std::string("mode=") + nameOf(mode) + " before=" + nameOf(before)
-                            + " configs=" + std::to_string(m_configs.position().completeTo)
-                            + " targets=" + std::to_string(m_targetFeed.position().completeTo));
-        const bool isWatching = mode != core::WatchRoster::Mode::Following;
-        m_configs.setWatching(isWatching);
-        m_targetFeed.setWatching(isWatching);
-    }
-    if (mode != before)
-        setPauses();
-    if (const auto notice = m_roster.takeNotice(m_configs.position(), m_targetFeed.position(), now))
-        sendToAll(*notice);
-}
-
-/// Tells the others of a few changed targets themselves, which saves each of them a call.
-void GatewayControl::passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base)
-{
-    if (m_roster.mode() != core::WatchRoster::Mode::Watching || entries.size() > mostPassedOn)
-        return;
-    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}, m_targetFeed.position().era};
-    for (const auto &entry : entries)
-        changes.changes.push_back({entry.name, entry.value});
-    sendToAll(changes);
-}
-
 void GatewayControl::publishTargets()
 {
     const core::Time now = bootTime();
     for (const std::string &id : m_registry.expire(now))
         m_events.record(Severity::Info, core::events::targetRemoved, "target=" + id);
-    if (!m_registry.takeChanged())
+    const bool hasEvacuationChanged = takeEvacuationChanges(now);
+    if (!m_registry.takeChanged() && !hasEvacuationChanged)
         return;
-    auto targets = m_registry.targets(now);
+    auto targets = knownTargets(now);
     for (const auto &[name, service] : m_services) {
         run(name, core::ControlTargets{m_leaving.markDraining(name, targets)});
     }
@@ -343,13 +294,13 @@
             onTimer();
     });
     shareWatches();
-    if (m_hasTargets)
+    if (hasLists())
         publishTargets();
     const core::Time now = bootTime();
     tellLeaving(now);
     carryOut(m_quarantines.tick(now), m_self.id);
     for (auto &[name, service] : m_services) {
-        if (!m_hasEntered || !m_hasTargets || (m_isResigning && service.control == nullptr))
+        if (!m_hasEntered || !hasLists() || (m_isResigning && service.control == nullptr))
             continue;
         if (service.control == nullptr) {
             service.control = std::make_unique<core::RangeControl>(name, m_self, now, core::OwnershipTiming{},
@@ -359,7 +310,7 @@
             for (const auto &[id, peer] : m_peers)
                 peers.push_back(peer);
             run(name, core::ControlPeers{std::move(peers), m_settings.linkMbps});
-            run(name, core::ControlTargets{m_leaving.markDraining(name, m_registry.targets(now))});
+            run(name, core::ControlTargets{m_leaving.markDraining(name, knownTargets(now))});
         }
         run(name, core::ControlTick{});
     }
@@ -492,6 +443,7 @@
                     "service=" + owners.service + " from=" + from + " term=" + std::to_string(owners.term)
                         + " sequence=" + std::to_string(owners.sequence)
                         + " ranges=" + std::to_string(owners.ranges.size()));
+    reportEvacuated(owners.service);
     m_tellTraffic(GatewayOwnersUpdate{owners});
 }
 
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -5,6 +5,7 @@
 
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
+#include <sardinehinge/core/membership/evacuations.h>
 #include <sardinehinge/core/quarantinekeeper.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/ratepermits.h>
@@ -58,6 +59,7 @@
         std::unique_ptr<core::RangeControl> control;
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
+        std::optional<core::Time> evacuatingSince; ///< Until its keys have left the evacuated failure domains.
     };
 
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
@@ -103,6 +105,19 @@
     void heard(const std::string &from, const core::PermitRequest &message);
     void heard(const std::string &from, const core::PermitGrant &message);
 
+    // Evacuated failure domains. In gatewaycontrol_evacuations.cpp.
+    void startEvacuationFeed();
+    void evacuationsChanged();
+    void retryEvacuations();
+    core::FeedPosition evacuationPosition() const;
+    /// Whether all that must be known of targets before requests are sent has been listed.
+    bool hasLists() const noexcept { return m_hasTargets && (!m_evacuationFeed || m_hasEvacuations); }
+    std::vector<core::RegisteredTarget> knownTargets(core::Time now) const;
+    bool takeEvacuationChanges(core::Time now);
+    void reportEvacuated(const std::string &name);
+    void addEvacuations(core::WatchNotice &notice) const;
+    void takeEvacuations(const core::WatchNotice &notice, core::Time now);
+
     // Requests that crash targets. In gatewaycontrol_quarantine.cpp.
     void take(const core::TargetCrashed &report);
     void take(const core::QuarantineRefuted &report);
@@ -146,6 +161,7 @@
     http::Server m_metricsServer;
     FeedWatcher<core::GatewayConfig> m_configs;
     FeedWatcher<core::RegisteredTarget> m_targetFeed;
+    std::optional<FeedWatcher<core::Evacuation>> m_evacuationFeed; ///< If the deployment has evacuations.
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65'536> m_buffer{};
     boost::asio::ip::udp::endpoint m_from;
@@ -156,6 +172,7 @@
     bool m_hasGreeted = false; ///< All that were known after the first list.
     std::mt19937 m_random{std::random_device{}()};
     bool m_hasTargets = false;
+    bool m_hasEvacuations = false;
     bool m_isPublicationScheduled = false;
     bool m_isReachable = true;
     bool m_isResigning = false;
@@ -164,6 +181,8 @@
     core::StoreEra m_era = 0; ///< The latest that an answer of the store or another daemon told of.
     core::TargetRegistry m_registry;
     core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
+    core::Evacuations m_evacuations;
+    std::atomic<std::size_t> m_evacuatedDomains = 0; ///< For the metrics.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
     core::DaemonRanking m_ranking; ///< Of all daemons that this one knows of.
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -219,10 +219,11 @@
 void GatewayControl::heard(const std::string &, const core::WatchNotice &message)
 {
     const core::Time now = bootTime();
-    eraSeen(std::max(message.configs.era, message.targets.era));
+    eraSeen(std::max({message.configs.era, message.targets.era, message.evacuations.era}));
     m_roster.noticeReceived(message, now);
     m_configs.told(message.configs, now - message.age);
     m_targetFeed.told(message.targets, now - message.age);
+    takeEvacuations(message, now);
 }
 
 void GatewayControl::heard(const std::string &, const protocol::TargetChanges &message)
@@ -261,7 +262,7 @@
 /// Has the keys of leaving targets handed over, if this daemon controls them.
 void GatewayControl::handOver(const std::string &service)
 {
-    run(service, core::ControlTargets{m_leaving.markDraining(service, m_registry.targets(bootTime()))});
+    run(service, core::ControlTargets{m_leaving.markDraining(service, knownTargets(bootTime()))});
 }
 
 /// Tells the controllers of leaving targets that the registry doesn't show as such.
--- /dev/null
+++ b/packages/daemon/src/gatewaycontrol_watches.cpp
@@ -0,0 +1,83 @@
+#include "gatewaycontrol.h"
+
+#include <sardinehinge/core/eventnumbers.h>
+
+#include <algorithm>
+
+/// The part of GatewayControl that shares the watches on the platform's store with the other daemons.
+namespace sardinehinge::daemon {
+
+namespace {
+
+/// Pause of a daemon that isn't watching for others, for each daemon: the calls that a series of changes costs the
+/// store stay the same whatever the size of the fleet. The longest leaves time for a lost notice and a lost answer
+/// within the users' shortest bound of 2 s.
+constexpr std::chrono::milliseconds pausePerDaemon(9);
+constexpr std::chrono::milliseconds longestPause(800);
+/// Changes of targets that are told to the others; more at once would hold up a narrow link, so they call the store.
+constexpr std::size_t mostPassedOn = 12;
+
+const char *nameOf(core::WatchRoster::Mode mode)
+{
+    switch (mode) {
+    case core::WatchRoster::Mode::Standalone:
+        return "alone";
+    case core::WatchRoster::Mode::Watching:
+        return "watching";
+    case core::WatchRoster::Mode::Following:
+        return "following";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+/// A watching daemon takes in changes quickly, since all others learn of them from it.
+void GatewayControl::setPauses()
+{
+    const bool isSparing = m_roster.mode() != core::WatchRoster::Mode::Watching;
+    const auto pause
+        = isSparing ? std::min<core::Duration>(pausePerDaemon * (m_peers.size() + 1), longestPause) : core::Duration(0);
+    m_configs.setSparing(pause);
+    m_targetFeed.setSparing(pause);
+    if (m_evacuationFeed)
+        m_evacuationFeed->setSparing(pause);
+}
+
+/// Takes this daemon's part in watching the store for all.
+void GatewayControl::shareWatches()
+{
+    const core::Time now = bootTime();
+    const auto before = m_roster.mode();
+    const auto mode = m_roster.tick(now);
+    if (mode != before) {
+        m_events.record(Severity::Info, core::events::watchModeChanged,
+                        std::string("mode=") + nameOf(mode) + " before=" + nameOf(before)
+                            + " configs=" + std::to_string(m_configs.position().completeTo)
+                            + " targets=" + std::to_string(m_targetFeed.position().completeTo));
+        const bool isWatching = mode != core::WatchRoster::Mode::Following;
+        m_configs.setWatching(isWatching);
+        m_targetFeed.setWatching(isWatching);
+        if (m_evacuationFeed)
+            m_evacuationFeed->setWatching(isWatching);
+    }
+    if (mode != before)
+        setPauses();
+    if (auto notice = m_roster.takeNotice(m_configs.position(), m_targetFeed.position(), now, evacuationPosition())) {
+        addEvacuations(*notice);
+        sendToAll(*notice);
+    }
+}
+
+/// Tells the others of a few changed targets themselves, which saves each of them a call.
+void GatewayControl::passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base)
+{
+    if (m_roster.mode() != core::WatchRoster::Mode::Watching || entries.size() > mostPassedOn)
+        return;
+    protocol::TargetChanges changes{base, m_targetFeed.position().completeTo, {}, m_targetFeed.position().era};
+    for (const auto &entry : entries)
+        changes.changes.push_back({entry.name, entry.value});
+    sendToAll(changes);
+}
+
+} // namespace sardinehinge::daemon
--- a/packages/daemon/tests/gatewaycontrol_test.cpp
+++ b/packages/daemon/tests/gatewaycontrol_test.cpp
@@ -27,8 +27,11 @@
     std::uint64_t revision = 100;
     std::map<std::string, Object<core::GatewayConfig>> configs;
     std::map<std::string, Object<core::RegisteredTarget>> targets;
+    std::map<std::string, Object<core::Evacuation>> evacuations;
     std::map<std::string, Object<core::PeerDaemon>> peers;
     std::size_t feedLists = 0;
+    std::size_t evacuationLists = 0;
+    bool isListingEvacuations = true; ///< Otherwise these lists fail.
     std::size_t peerLists = 0;
     std::size_t enters = 0;
     std::size_t entryWrites = 0;
@@ -54,7 +57,12 @@
     {
         const std::lock_guard lock(m_store.mutex);
         ++(m_store.*m_lists);
-        boost::asio::post(m_context, [done, page = changesAfter(0)] { done(page); });
+        auto page = changesAfter(0);
+        if constexpr (std::is_same_v<Value, core::Evacuation>) {
+            if (!m_store.isListingEvacuations)
+                page.outcome = edges::StoreOutcome::Refused;
+        }
+        boost::asio::post(m_context, [done, page] { done(page); });
     }
     /// Answers after a short wait, with or without changes.
     void watch(std::uint64_t revision, Callback done)
@@ -158,11 +166,13 @@
     FakePlatform(boost::asio::io_context &context, FakeStore &store)
         : m_configs(FakeFeed(context, store, &FakeStore::configs, &FakeStore::feedLists))
         , m_targets(FakeFeed(context, store, &FakeStore::targets, &FakeStore::feedLists))
+        , m_evacuations(FakeFeed(context, store, &FakeStore::evacuations, &FakeStore::evacuationLists))
         , m_peers(context, store)
     {
     }
     edges::Feed<core::GatewayConfig> &configs() override { return m_configs; }
     edges::Feed<core::RegisteredTarget> &targets() override { return m_targets; }
+    edges::Feed<core::Evacuation> &evacuations() override { return m_evacuations; }
     edges::PeerRegistry &peers() override { return m_peers; }
     edges::OwnershipStore &ownership() override { return m_ownership; }
     edges::RangeOrders &orders() override { return m_ownership; }
@@ -170,6 +180,7 @@
 private:
     FakeObjects<core::GatewayConfig> m_configs;
     FakeObjects<core::RegisteredTarget> m_targets;
+    FakeObjects<core::Evacuation> m_evacuations;
     FakePeers m_peers;
     NoOwnership m_ownership;
 };
@@ -178,11 +189,15 @@
 class Control
 {
 public:
-    Control()
+    /// `prepare`: sets what the store holds at the start.
+    explicit Control(std::optional<core::Duration> evacuationBound = std::nullopt,
+                     const std::function<void(FakeStore &)> &prepare = {})
         : m_control(
-            settings(), [this](auto &context) { return std::make_unique<FakePlatform>(context, store); }, m_events,
-            m_metrics, [this](const daemon::ToTraffic &update) { return take(update); })
+            settings(evacuationBound), [this](auto &context) { return std::make_unique<FakePlatform>(context, store); },
+            m_events, m_metrics, [this](const daemon::ToTraffic &update) { return take(update); })
     {
+        if (prepare)
+            prepare(store);
         REQUIRE(core::errorIn(m_control.start()) == nullptr);
     }
 
@@ -225,11 +240,14 @@
 
     FakeStore store;
     std::vector<std::uint64_t> versions; ///< Configurations put in force. Guarded by the store's mutex.
+    std::optional<std::vector<core::RegisteredTarget>>
+        published; ///< To the traffic duty. Guarded by the store's mutex.
 
 private:
-    static edges::GatewaySettings settings()
+    static edges::GatewaySettings settings(std::optional<core::Duration> evacuationBound)
     {
         edges::GatewaySettings settings;
+        settings.evacuationBound = evacuationBound;
         settings.id = "self";
         settings.peerAddress = settings.metricsAddress = "127.0.0.1:0";
         return settings;
@@ -239,6 +257,8 @@
         const std::lock_guard lock(store.mutex);
         if (const auto *config = std::get_if<daemon::GatewayConfigUpdate>(&update))
             versions.push_back(config->config.version);
+        if (const auto *targets = std::get_if<daemon::GatewayTargetsUpdate>(&update))
+            published = targets->targets;
         return true;
     }
 
@@ -303,3 +323,62 @@
     CHECK(control.store.entryWrites == 1);
     CHECK(control.store.peerLists == 1);
 }
+
+TEST_CASE("Targets of an evacuated failure domain are published as draining, and as before after it")
+{
+    Control control(5s);
+    control.change([](FakeStore &store) {
+        for (const std::string domain : {"a", "b"}) {
+            core::RegisteredTarget target;
+            target.identity = {domain + "-target", 1};
+            target.failureDomain = domain;
+            store.targets[target.identity.id] = {target, ++store.revision};
+        }
+    });
+    const auto draining = [&control] {
+        std::vector<std::string> ids;
+        for (const core::RegisteredTarget &target : control.published.value_or(std::vector<core::RegisteredTarget>())) {
+            if (target.isDraining)
+                ids.push_back(target.identity.id);
+        }
+        return ids;
+    };
+    REQUIRE(control.waitFor([&] { return control.published && control.published->size() == 2; }, 2s));
+    control.change([](FakeStore &store) { store.evacuations["b"] = {{}, ++store.revision}; });
+    CHECK(control.waitFor([&] { return draining() == std::vector<std::string>{"b-target"}; }, 2s));
+    CHECK(control.count(core::events::evacuationBegan) == 1);
+    // The store has lost the entry, and the operator doesn't write it again.
+    control.change([](FakeStore &store) {
+        store.evacuations.clear();
+        ++store.era;
+    });
+    CHECK_FALSE(control.waitFor([&] { return draining().empty(); }, 2s));
+    CHECK(control.waitFor([&] { return draining().empty(); }, 5s));
+    CHECK(control.count(core::events::evacuationEnded) == 1);
+}
+
+TEST_CASE("No targets are published before the evacuations are known")
+{
+    Control control(5s, [](FakeStore &store) {
+        store.isListingEvacuations = false;
+        store.targets["a-target"] = {{{"a-target", 1}, "s", "127.0.0.1:1", "a"}, ++store.revision};
+        store.evacuations["a"] = {{}, ++store.revision};
+    });
+    CHECK_FALSE(control.waitFor([&] { return control.published.has_value(); }, 500ms));
+    control.change([](FakeStore &store) { store.isListingEvacuations = true; });
+    REQUIRE(control.waitFor([&] { return control.published && !control.published->empty(); }, 2s));
+    const std::lock_guard lock(control.store.mutex);
+    CHECK(control.published->front().isDraining);
+}
+
+TEST_CASE("A deployment whose settings have no bound for evacuations makes no calls for them")
+{
+    Control control(std::nullopt, [](FakeStore &store) {
+        store.targets["a-target"] = {{{"a-target", 1}, "s", "127.0.0.1:1", "a"}, ++store.revision};
+        store.evacuations["a"] = {{}, ++store.revision};
+    });
+    REQUIRE(control.waitFor([&] { return control.published.has_value(); }, 2s));
+    const std::lock_guard lock(control.store.mutex);
+    CHECK_FALSE(control.published->front().isDraining);
+    CHECK(control.store.evacuationLists == 0);
+}
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/gatewayconfig.h>
 #include <sardinehinge/core/gatewayrouter.h>
+#include <sardinehinge/core/membership/evacuations.h>
 #include <sardinehinge/core/rangecontrol.h>
 #include <sardinehinge/core/target.h>
 #include <sardinehinge/http/client.h>
@@ -163,6 +164,9 @@
     core::RetryAllowance retries;
     core::Duration changeBound = std::chrono::seconds(2); ///< From a configuration's storing to its effect everywhere.
     core::Duration drainBound = std::chrono::seconds(2); ///< From a target's leaving to its last new request.
+    /// From the acknowledgement of an evacuation to the last request to its targets; std::nullopt: this deployment has
+    /// no evacuations.
+    std::optional<core::Duration> evacuationBound = std::nullopt;
     core::Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end of the process.
     core::Duration longestLease = std::chrono::seconds(10); ///< That targets accept.
     std::uint64_t memoryBytes = 256ULL << 20;
@@ -184,6 +188,8 @@
 
     virtual Feed<core::GatewayConfig> &configs() = 0;
     virtual Feed<core::RegisteredTarget> &targets() = 0;
+    /// Entries are named after the failure domain.
+    virtual Feed<core::Evacuation> &evacuations() = 0;
     virtual PeerRegistry &peers() = 0;
     virtual OwnershipStore &ownership() = 0;
     virtual RangeOrders &orders() = 0;
--- a/packages/protocol/gateway.thrift
+++ b/packages/protocol/gateway.thrift
@@ -91,6 +91,9 @@
   1: FeedPosition configs,
   2: FeedPosition targets,
   3: i32 ageMs,
+  4: FeedPosition evacuations,
+  5: list<string> evacuatedDomains,
+  6: bool hasEvacuatedDomains,  // False: too many for a notice.
 }
 
 struct TargetChange {
--- a/packages/protocol/src/gatewaycodec.cpp
+++ b/packages/protocol/src/gatewaycodec.cpp
@@ -168,6 +168,10 @@
         notice.__set_targets(toWire(message.targets));
         notice.__set_ageMs(
             static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(message.age).count()));
+        notice.__set_evacuations(toWire(message.evacuations));
+        notice.__set_hasEvacuatedDomains(message.evacuatedDomains.has_value());
+        if (message.evacuatedDomains)
+            notice.__set_evacuatedDomains(*message.evacuatedDomains);
         out.__set_watchNotice(notice);
     }
 
@@ -483,8 +487,11 @@
     if (isset.watchNotice) {
         if (in.watchNotice.ageMs < 0)
             return std::nullopt;
-        return core::WatchNotice{in.sender, fromWire(in.watchNotice.configs), fromWire(in.watchNotice.targets),
-                                 std::chrono::milliseconds(in.watchNotice.ageMs)};
+        core::WatchNotice notice{in.sender, fromWire(in.watchNotice.configs), fromWire(in.watchNotice.targets),
+                                 std::chrono::milliseconds(in.watchNotice.ageMs), fromWire(in.watchNotice.evacuations)};
+        if (in.watchNotice.hasEvacuatedDomains)
+            notice.evacuatedDomains = in.watchNotice.evacuatedDomains;
+        return notice;
     }
     if (isset.ack)
         return core::ControllerHeartbeatAck{in.ack.group,
--- a/packages/protocol/tests/gatewaycodec_test.cpp
+++ b/packages/protocol/tests/gatewaycodec_test.cpp
@@ -25,6 +25,9 @@
         protocol::LeavingMessage{"s", {"a", 1ULL << 62}},
         protocol::Hello{"10.0.0.1:7620", true, 200},
         core::WatchNotice{"sender", {17, 30, 16, 5}, {29, 31, 0, 6}, 120ms},
+        core::WatchNotice{
+            "sender", {17, 30, 16, 5}, {29, 31, 0, 6}, 120ms, {19, 32, 0, 6}, std::vector<std::string>{"a", "b"}},
+        core::WatchNotice{"sender", {17, 30, 16, 5}, {29, 31, 0, 6}, 120ms, {19, 32, 0, 6}, std::vector<std::string>()},
         protocol::TargetChanges{
             17,
             30,
