Give out permits for requests to cold targets

Cause: daemons sent to cold targets as to others, at a higher cost only.

ColdTargets marks the entries; after the end of an evacuation all targets of the domain count as cold for the whole warm-up. A service whose warm-up can't be read is served without it.

Ruled out: a mechanism beside the permits, equal shares, no requests at all, health checks of all targets (docs/design/cold-targets.md).

Tests: coldtargets_test.cpp plays several routers and brokers, calm, lossy, with coordinators lost or cut off, known late, and with all targets cold. Planted in the test, daemons without permits and daemons that each give out their own exceed the bound: 'The check of cold targets fails for...' shows it.

--- a/packages/core/include/sardinehinge/core/gatewayconfig.h
+++ b/packages/core/include/sardinehinge/core/gatewayconfig.h
@@ -45,6 +45,8 @@
     std::string name;
     bool isSharded = false; ///< Each key is owned by at most one target at a time.
     std::uint32_t maxConnections = 0; ///< Per target, summed over all daemons; 0: unspecified.
+    Duration warmupTime = 0ms; ///< For which a target is cold after it starts.
+    double warmupRate = 0; ///< Requests a second that a cold target bears; 0: unspecified.
 
     bool operator==(const BackendService &) const = default;
 };
--- a/packages/core/include/sardinehinge/core/target.h
+++ b/packages/core/include/sardinehinge/core/target.h
@@ -16,6 +16,7 @@
     bool isDraining = false;
     Duration warmupLeft = 0ms; ///< Warm-up time that remained when it was registered; it is slower meanwhile.
     std::uint64_t sequence = 0; ///< Counts the entries that this incarnation of the target has written.
+    double coldRate = 0; ///< Requests a second from all daemons while it warms up; 0: not limited. Not part of entries.
 
     bool operator==(const RegisteredTarget &) const = default;
 };
--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -144,9 +144,12 @@
     bool isQuiet(Time now) const noexcept { return m_beliefs.isQuiet(now); }
     bool isWarmingUp(Time now) const noexcept { return now < m_warmupEnd; }
     /// Whether each request to the target needs a permit.
-    bool isRateLimited() const noexcept { return m_beliefs.rateLimit().has_value(); }
+    bool isRateLimited(Time now) const noexcept { return rateLimit(now).has_value(); }
+    /// Requests a second that the target accepts from all daemons together, by its own answers and because it is cold;
+    /// std::nullopt: any number.
+    std::optional<double> rateLimit(Time now) const noexcept;
     /// Whether no permit is needed now, or one can be used.
-    bool isPermitted(Time now) noexcept { return !isRateLimited() || m_permits.isUsable(now); }
+    bool isPermitted(Time now) noexcept { return !isRateLimited(now) || m_permits.isUsable(now); }
     RatePermits &permits() noexcept { return m_permits; }
     const RatePermits &permits() const noexcept { return m_permits; }
     TargetCondition condition(Time now) const noexcept;
@@ -172,6 +175,7 @@
     RatePermits m_permits;
     std::optional<Time> m_drainingSince; ///< By the registry.
     Time m_warmupEnd = 0ms;
+    double m_coldRate = 0; ///< Until m_warmupEnd; 0: not limited.
     Time m_nextRequest = 0ms;
     Time m_admitsFrom = 0ms; ///< Of all the above, for the choice among many targets.
 };
--- a/packages/core/src/gatewayrouter_permits.cpp
+++ b/packages/core/src/gatewayrouter_permits.cpp
@@ -69,7 +69,7 @@
 void GatewayRouter::askPermits(const std::string &serviceName, Target &target, std::size_t wanted, Duration maxWait,
                                Time now)
 {
-    const std::optional<double> rate = target.state.beliefs().rateLimit();
+    const std::optional<double> rate = target.state.rateLimit(now);
     RatePermits &permits = target.state.permits();
     if (!rate || !permits.mayAsk(now) || wanted <= permits.count(now) || target.state.isQuiet(now))
         return;
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -108,7 +108,7 @@
     if (state.isQuiet(now))
         return state.nextRequest();
     const Time denied = state.permits().deniedUntil();
-    return state.isRateLimited() && now < denied ? denied : Time(0);
+    return state.isRateLimited(now) && now < denied ? denied : Time(0);
 }
 
 Time GatewayRouter::admissionTime(const Request &request, const Service &service, Time now) const
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -86,6 +86,7 @@
     else if (!m_drainingSince)
         m_drainingSince = now;
     m_warmupEnd = now + entry.warmupLeft;
+    m_coldRate = entry.coldRate;
     setNextRequest(m_nextRequest);
 }
 
@@ -111,12 +112,19 @@
 void TargetState::requestSent(Time now) noexcept
 {
     m_score.attemptStarted();
-    if (isRateLimited())
+    if (isRateLimited(now))
         m_permits.take(now);
     if (m_beliefs.quietUntil() != 0ms && now < m_beliefs.quietUntil() + m_timing.readmissionTime)
         setNextRequest(now + m_timing.readmissionInterval);
 }
 
+std::optional<double> TargetState::rateLimit(Time now) const noexcept
+{
+    if (m_coldRate <= 0 || !isWarmingUp(now))
+        return m_beliefs.rateLimit();
+    return std::min(m_beliefs.rateLimit().value_or(m_coldRate), m_coldRate);
+}
+
 std::optional<Time> TargetState::keyedEnd() const noexcept
 {
     const auto leaving = m_beliefs.leavingSince();
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -89,6 +89,7 @@
     }))
     , m_self{settings.id, 0}
     , m_registry(registryTiming(settings))
+    , m_coldTargets(settings.coldTargets)
     , m_roster(settings.id, bootTime(), rosterTiming(settings))
     , m_ranking(settings.id)
     , m_quarantines(settings.id, std::random_device()())
@@ -167,6 +168,7 @@
     if (entry.value->version <= m_configVersion)
         return;
     m_configVersion = entry.value->version;
+    m_hasColdChanged = m_coldTargets.setServices(entry.value->services) || m_hasColdChanged;
     constexpr std::size_t maxLoggedFaults = 16; ///< Of one configuration, so that the log stays bounded.
     const auto &faults = entry.value->faults;
     for (std::size_t index = 0; index < std::min(faults.size(), maxLoggedFaults); ++index)
@@ -268,8 +270,8 @@
     const core::Time now = bootTime();
     for (const std::string &id : m_registry.expire(now))
         m_events.record(Severity::Info, core::events::targetRemoved, "target=" + id);
-    const bool hasEvacuationChanged = takeEvacuationChanges(now);
-    if (!m_registry.takeChanged() && !hasEvacuationChanged)
+    const bool hasMarkChanged = takeEvacuationChanges(now) || std::exchange(m_hasColdChanged, false);
+    if (!m_registry.takeChanged() && !hasMarkChanged)
         return;
     auto targets = knownTargets(now);
     for (const auto &[name, service] : m_services) {
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -3,6 +3,7 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/balancing/coldtargets.h>
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
 #include <sardinehinge/core/membership/evacuations.h>
@@ -182,6 +183,8 @@
     core::TargetRegistry m_registry;
     core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
     core::Evacuations m_evacuations;
+    core::ColdTargets m_coldTargets;
+    bool m_hasColdChanged = false; ///< Since the targets were last published.
     std::atomic<std::size_t> m_evacuatedDomains = 0; ///< For the metrics.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
--- a/packages/daemon/src/gatewaycontrol_evacuations.cpp
+++ b/packages/daemon/src/gatewaycontrol_evacuations.cpp
@@ -68,10 +68,10 @@
     return m_evacuationFeed ? m_evacuationFeed->position() : core::FeedPosition();
 }
 
-/// All known targets, with those of evacuated failure domains as draining.
+/// All known targets, with those of evacuated failure domains as draining, and how cold they are.
 std::vector<core::RegisteredTarget> GatewayControl::knownTargets(core::Time now) const
 {
-    return m_evacuations.markDraining(m_registry.targets(now));
+    return m_coldTargets.mark(m_evacuations.markDraining(m_registry.targets(now)), now);
 }
 
 /// Ends evacuations whose time is over, and returns whether any has begun or ended since the last call.
@@ -94,8 +94,10 @@
                 + " complete_ago_ms=" + std::to_string(milliseconds(now - m_evacuationFeed->completeAt()));
         m_events.record(Severity::Info, hasBegun ? core::events::evacuationBegan : core::events::evacuationEnded,
                         detail);
-        if (!hasBegun)
+        if (!hasBegun) {
+            m_coldTargets.evacuationEnded(domain, now);
             continue;
+        }
         for (auto &[name, service] : m_services)
             service.evacuatingSince = now;
     }
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/balancing/coldtargets.h>
 #include <sardinehinge/core/gatewayconfig.h>
 #include <sardinehinge/core/gatewayrouter.h>
 #include <sardinehinge/core/membership/evacuations.h>
@@ -167,6 +168,7 @@
     /// From the acknowledgement of an evacuation to the last request to its targets; std::nullopt: this deployment has
     /// no evacuations.
     std::optional<core::Duration> evacuationBound = std::nullopt;
+    core::ColdAllowance coldTargets;
     core::Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end of the process.
     core::Duration longestLease = std::chrono::seconds(10); ///< That targets accept.
     std::uint64_t memoryBytes = 256ULL << 20;
