--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -4,8 +4,10 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/balancing/coldtargets.h>
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
+#include <sardinehinge/core/membership/evacuations.h>
 #include <sardinehinge/core/ownership/leasechoice.h>
 #include <sardinehinge/core/quarantinekeeper.h>
 #include <sardinehinge/core/rangecontrol.h>
@@ -61,6 +63,7 @@
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
         core::Duration longestRequest{}; ///< By the configuration; see core::longestRequestTime().
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
+        std::optional<core::Time> evacuatingSince; ///< Until its keys have left the evacuated failure domains.
     };
 
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
@@ -72,9 +75,8 @@
     bool reached(bool isReachable, const std::string &detail);
     void eraSeen(core::StoreEra era);
     void shareWatches();
-    template<typename Value>
-    void keepForPeers(FeedRelay::Kind kind, const FeedWatcher<Value> &feed, const edges::FeedPage<Value> &page,
-                      std::uint64_t base);
+    void keepForPeers(FeedRelay::Kind kind, const core::FeedPosition &position, std::uint64_t base,
+                      const std::string &source);
     void readNews(FeedRelay::Kind kind, std::uint64_t revision, core::StoreEra era,
                   std::function<void(FeedRelay::Answers)> done);
     void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
@@ -111,6 +113,19 @@
     void heard(const std::string &from, const core::PermitRequest &message);
     void heard(const std::string &from, const core::PermitGrant &message);
 
+    // Evacuated failure domains. In gatewaycontrol_evacuations.cpp.
+    void startEvacuationFeed();
+    void evacuationsChanged();
+    void retryEvacuations();
+    core::FeedPosition evacuationPosition() const;
+    /// Whether all that must be known of targets before requests are sent has been listed.
+    bool hasLists() const noexcept { return m_hasTargets && (!m_evacuationFeed || m_hasEvacuations); }
+    std::vector<core::RegisteredTarget> knownTargets(core::Time now) const;
+    bool takeEvacuationChanges(core::Time now);
+    void reportEvacuated(const std::string &name);
+    void addEvacuations(core::WatchNotice &notice) const;
+    void takeEvacuations(const core::WatchNotice &notice, core::Time now);
+
     // Requests that crash targets. In gatewaycontrol_quarantine.cpp.
     void take(const core::TargetCrashed &report);
     void take(const core::QuarantineRefuted &report);
@@ -158,6 +173,7 @@
     std::string m_newsFrom; ///< The daemon whose notice has come last.
     FeedWatcher<core::GatewayConfig> m_configs;
     FeedWatcher<core::RegisteredTarget> m_targetFeed;
+    std::optional<FeedWatcher<core::Evacuation>> m_evacuationFeed; ///< If the deployment has evacuations.
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65'536> m_buffer{};
     boost::asio::ip::udp::endpoint m_from;
@@ -171,6 +187,7 @@
     bool m_hasGreeted = false; ///< All that were known after the first list.
     std::mt19937 m_random{std::random_device{}()};
     bool m_hasTargets = false;
+    bool m_hasEvacuations = false;
     bool m_isPublicationScheduled = false;
     bool m_isReachable = true;
     bool m_isResigning = false;
@@ -179,6 +196,10 @@
     core::StoreEra m_era = 0; ///< The latest that an answer of the store or another daemon told of.
     core::TargetRegistry m_registry;
     core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
+    core::Evacuations m_evacuations;
+    core::ColdTargets m_coldTargets;
+    bool m_hasColdChanged = false; ///< Since the targets were last published.
+    std::atomic<std::size_t> m_evacuatedDomains = 0; ///< For the metrics.
     core::WatchRoster m_roster;
     std::map<std::string, core::PeerDaemon> m_peers;
     core::DaemonRanking m_ranking; ///< Of all daemons that this one knows of.
