Forget the speeds of targets that have left

Cause: TargetSpeeds kept the minimum of each target that ever reported, and minima grow by 6% a second. Once half of the known targets had left, the median was one of theirs: every other target then counted as twice as fast as it is, whatever its slowness, and after some three hours the minima were infinite.

Change: RangeControl has it keep only the targets of the latest ControlTargets, and takes no report of another one. Targets that are listed but serve nothing keep their minima, as before; forgetting by age was ruled out, since it would make these average.

Test: "Targets that have left don't count...", 16 mixes. Seen to fail without the removal: 20 checks in 9 mixes (speeds of 2 instead of 1 and of 0.25, and not a number). gateway_tests and range_tests pass.

--- a/packages/core/include/sardinehinge/core/targetspeeds.h
+++ b/packages/core/include/sardinehinge/core/targetspeeds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/target.h>
 #include <sardinehinge/core/types.h>
 
 #include <map>
@@ -17,6 +18,8 @@
 public:
     /// Adds a measurement. `slowness`: mean latency divided by that of an average target, above 0.
     void add(const std::string &target, double slowness, Time now);
+    /// Forgets all targets but these, whose minima would grow for ever and raise the median.
+    void keepOnly(const std::map<std::string, RegisteredTarget> &targets);
     /// Speed relative to the median target, between minSpeed and maxSpeed; 1 without measurements.
     double speed(const std::string &target, Time now) const;
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -78,6 +78,7 @@
         m_targets[target.identity.id] = target;
         m_addresses[target.identity.id] = target.address;
     }
+    m_speeds.keepOnly(m_targets);
 }
 
 void RangeControl::on(const KeyLoadReport &event)
@@ -85,8 +86,10 @@
     if (m_role != Role::Controller)
         return;
     m_keyLoad.add(event.requests);
-    for (const auto &[id, slowness] : event.slowness)
-        m_speeds.add(id, slowness, m_now);
+    for (const auto &[id, slowness] : event.slowness) {
+        if (m_targets.contains(id))
+            m_speeds.add(id, slowness, m_now);
+    }
 }
 
 void RangeControl::on(const KeyRefused &event)
--- a/packages/core/src/targetspeeds.cpp
+++ b/packages/core/src/targetspeeds.cpp
@@ -26,6 +26,11 @@
         found->second = {std::min(grownMinimum(found->second, now), slowness), now};
 }
 
+void TargetSpeeds::keepOnly(const std::map<std::string, RegisteredTarget> &targets)
+{
+    std::erase_if(m_minima, [&targets](const auto &minimum) { return !targets.contains(minimum.first); });
+}
+
 double TargetSpeeds::speed(const std::string &target, Time now) const
 {
     const auto found = m_minima.find(target);
--- a/packages/core/tests/targetspeeds_test.cpp
+++ b/packages/core/tests/targetspeeds_test.cpp
@@ -46,3 +46,22 @@
 {
     CHECK(TargetSpeeds().speed("a", 1s) == 1);
 }
+
+TEST_CASE("Targets that have left don't count for the speed of the others")
+{
+    const int departed = GENERATE(0, 4, 5, 500);
+    const Duration since = GENERATE(0s, 60s, 3600s, 36'000s);
+    TargetSpeeds speeds;
+    std::map<std::string, RegisteredTarget> targets;
+    for (int index = 0; index < departed; ++index)
+        speeds.add("gone" + std::to_string(index), 1, 1s);
+    const Time now = 1s + since;
+    for (const auto &[id, slowness] : std::map<std::string, double>{{"a", 1}, {"b", 1}, {"c", 1}, {"slow", 4}}) {
+        speeds.add(id, slowness, now);
+        targets[id].identity = {id, 1};
+    }
+    speeds.keepOnly(targets);
+    CHECK(speeds.speed("a", now) == 1);
+    CHECK(speeds.speed("slow", now) == 0.25);
+    CHECK(speeds.speed("gone0", now) == 1);
+}
