Take the names of a test page by reference

clang-tidy reports the copy (performance-unnecessary-value-param); a word in the title of another case changes, too. Measured: daemon_tests passed with the reference, before the title's word changed.

--- a/packages/daemon/tests/pagedlist_test.cpp
+++ b/packages/daemon/tests/pagedlist_test.cpp
@@ -196,7 +196,7 @@
 
 } // namespace
 
-TEST_CASE("A copy equals the store whatever changes at whichever moment of a paged list")
+TEST_CASE("A copy equals the store whatever changes at any moment of a paged list")
 {
     const bool isWatching = GENERATE(true, false);
     const int pagesBefore = GENERATE(0, 1, 2, 3, 4); // Calls answered before the change; the list has three pages.
@@ -322,8 +322,8 @@
 {
     using List = daemon::PagedList<int>;
     using Progress = List::Progress;
-    const auto page = [](std::vector<std::string> names, std::uint64_t revision, bool hasMore, core::StoreEra era = 1,
-                         edges::StoreOutcome outcome = edges::StoreOutcome::Ok) {
+    const auto page = [](const std::vector<std::string> &names, std::uint64_t revision, bool hasMore,
+                         core::StoreEra era = 1, edges::StoreOutcome outcome = edges::StoreOutcome::Ok) {
         edges::FeedPage<int> made{outcome, {}, revision, hasMore, {}, era};
         for (const std::string &name : names)
             made.entries.push_back({name, 1, {}});
