Report the end of an evacuation by the keys that have left the domain

Cause: E672 waited for a moment in which no key at all was moving or without an owner.

Change: each daemon subtracts from all keys those that a target elsewhere has held since the begin, and reports when none is left.

--- a/packages/core/include/sardinehinge/core/membership/evacuations.h
+++ b/packages/core/include/sardinehinge/core/membership/evacuations.h
@@ -47,8 +47,10 @@
     /// Returns the targets, with those of evacuated domains as draining.
     std::vector<RegisteredTarget> markDraining(std::vector<RegisteredTarget> targets) const;
 
-    /// Whether all keys are held by targets outside the evacuated domains.
-    bool isVacated(const RangeOwners &owners, const std::vector<RegisteredTarget> &targets) const;
+    /// Returns those of `keys` that no target outside the evacuated domains holds. Keys that one has held since the
+    /// evacuation began don't return, so the rest of them shows how far it is, whatever else moves meanwhile.
+    std::vector<KeyRange> remainingKeys(const std::vector<KeyRange> &keys, const RangeOwners &owners,
+                                        const std::vector<RegisteredTarget> &targets) const;
 
     /// An evacuation that began or ended.
     struct Change
--- a/packages/core/src/membership/evacuations.cpp
+++ b/packages/core/src/membership/evacuations.cpp
@@ -69,14 +69,23 @@
     return targets;
 }
 
-bool Evacuations::isVacated(const RangeOwners &owners, const std::vector<RegisteredTarget> &targets) const
+std::vector<KeyRange> Evacuations::remainingKeys(const std::vector<KeyRange> &keys, const RangeOwners &owners,
+                                                 const std::vector<RegisteredTarget> &targets) const
 {
-    return std::all_of(owners.ranges.begin(), owners.ranges.end(), [&](const RoutedRange &range) {
+    std::vector<KeyRange> remaining;
+    for (const RoutedRange &range : owners.ranges) {
         const auto owner = std::find_if(targets.begin(), targets.end(), [&range](const RegisteredTarget &target) {
             return target.identity.id == range.owner;
         });
-        return range.state == RangeState::Held && owner != targets.end() && !isEvacuated(owner->failureDomain);
-    });
+        if (range.state == RangeState::Held && owner != targets.end() && !isEvacuated(owner->failureDomain))
+            continue;
+        for (const KeyRange &part : keys) {
+            const KeyRange common{std::max(part.first, range.range.first), std::min(part.last, range.range.last)};
+            if (common.first <= common.last)
+                remaining.push_back(common);
+        }
+    }
+    return remaining;
 }
 
 std::vector<Evacuations::Change> Evacuations::takeChanges()
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -60,7 +60,8 @@
         std::unique_ptr<core::RangeControl> control;
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
-        std::optional<core::Time> evacuatingSince; ///< Until its keys have left the evacuated failure domains.
+        core::Time evacuatingSince{};
+        std::vector<core::KeyRange> evacuatingKeys; ///< That may not have left the evacuated failure domains yet.
     };
 
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
--- a/packages/daemon/src/gatewaycontrol_evacuations.cpp
+++ b/packages/daemon/src/gatewaycontrol_evacuations.cpp
@@ -82,6 +82,10 @@
     if (changes.empty())
         return false;
     m_evacuatedDomains.store(m_evacuations.size());
+    if (m_evacuations.size() == 0) {
+        for (auto &[name, service] : m_services)
+            service.evacuatingKeys.clear();
+    }
     const auto targets = m_registry.targets(now);
     for (const auto &[domain, hasBegun] : changes) {
         const auto count
@@ -98,8 +102,11 @@
             m_coldTargets.evacuationEnded(domain, now);
             continue;
         }
-        for (auto &[name, service] : m_services)
+        for (auto &[name, service] : m_services) {
             service.evacuatingSince = now;
+            service.evacuatingKeys = {{0, core::lastKey}};
+            reportEvacuated(name);
+        }
     }
     return true;
 }
@@ -108,16 +115,16 @@
 void GatewayControl::reportEvacuated(const std::string &name)
 {
     Service &service = serviceOf(name);
-    if (!service.evacuatingSince || service.owners.ranges.empty())
+    if (service.evacuatingKeys.empty() || service.owners.ranges.empty())
         return;
     const core::Time now = bootTime();
-    const auto targets = m_registry.targets(now);
-    if (!m_evacuations.isVacated(service.owners, targets))
+    service.evacuatingKeys
+        = m_evacuations.remainingKeys(service.evacuatingKeys, service.owners, m_registry.targets(now));
+    if (!service.evacuatingKeys.empty())
         return;
     m_events.record(Severity::Info, core::events::evacuationComplete,
                     "service=" + name + " sequence=" + std::to_string(service.owners.sequence)
-                        + " after_ms=" + std::to_string(milliseconds(now - *service.evacuatingSince)));
-    service.evacuatingSince.reset();
+                        + " after_ms=" + std::to_string(milliseconds(now - service.evacuatingSince)));
 }
 
 /// Adds the evacuated domains to a notice, which saves each of its receivers a call.
