Log targets that become cold

Cause: the log didn't show when a target was cold, so a request rejected for want of a permit had no line that explains it. Change: E673 for the first entry of a target that says so, with the time left and the rate of permits, for services whose configuration names a rate only; so earlier deployments log nothing more. Ruled out: a line for each entry (heartbeats of a cold target would repeat it). Tests: the table of ColdTargets checks the rate, also without one; gateway and daemon tests pass.

--- a/packages/core/include/sardinehinge/core/balancing/coldtargets.h
+++ b/packages/core/include/sardinehinge/core/balancing/coldtargets.h
@@ -44,6 +44,8 @@
     /// Returns whether this changes entries.
     bool setServices(const std::vector<BackendService> &services);
     void evacuationEnded(const std::string &domain, Time now);
+    /// Returns the rate of permits for the service's cold targets; 0: they need none.
+    double permitRate(const std::string &service) const noexcept;
     std::vector<RegisteredTarget> mark(std::vector<RegisteredTarget> targets, Time now) const;
 
 private:
--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -80,5 +80,6 @@
 constexpr std::uint32_t evacuationBegan = 670;
 constexpr std::uint32_t evacuationEnded = 671;
 constexpr std::uint32_t evacuationComplete = 672;
+constexpr std::uint32_t targetCold = 673;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/src/balancing/coldtargets.cpp
+++ b/packages/core/src/balancing/coldtargets.cpp
@@ -33,6 +33,12 @@
     m_returnedAt[domain] = now;
 }
 
+double ColdTargets::permitRate(const std::string &service) const noexcept
+{
+    const auto found = m_warmups.find(service);
+    return found == m_warmups.end() ? 0 : found->second.rate;
+}
+
 std::vector<RegisteredTarget> ColdTargets::mark(std::vector<RegisteredTarget> targets, Time now) const
 {
     for (RegisteredTarget &target : targets) {
--- a/packages/core/tests/coldtargets_test.cpp
+++ b/packages/core/tests/coldtargets_test.cpp
@@ -385,4 +385,5 @@
     const auto marked = cold.mark({target}, now);
     CHECK(marked[0].warmupLeft == expectedLeft);
     CHECK(marked[0].coldRate == expectedRate);
+    CHECK(cold.permitRate(plain) == expectedRate);
 }
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -191,6 +191,15 @@
             || known->isDraining != entry.value->isDraining;
         const std::string detail = "target=" + entry.name + " service=" + entry.value->service
             + " address=" + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation);
+        const bool isNewlyCold = entry.value->warmupLeft > core::Duration(0)
+            && (known == nullptr || known->identity != entry.value->identity || known->warmupLeft == core::Duration(0));
+        if (isNewlyCold && m_coldTargets.permitRate(entry.value->service) > 0)
+            m_events.record(
+                Severity::Info, core::events::targetCold,
+                "target=" + entry.name + " service=" + entry.value->service + " left_ms="
+                    + std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(entry.value->warmupLeft).count())
+                    + " rate=" + std::to_string(m_coldTargets.permitRate(entry.value->service)));
         if (!m_registry.put(*entry.value, now))
             m_events.record(Severity::Info, core::events::targetEntryOutdated,
                             detail + " sequence=" + std::to_string(entry.value->sequence));
