--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -63,7 +63,8 @@
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
         core::Duration longestRequest{}; ///< By the configuration; see core::longestRequestTime().
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
-        std::optional<core::Time> evacuatingSince; ///< Until its keys have left the evacuated failure domains.
+        core::Time evacuatingSince{};
+        std::vector<core::KeyRange> evacuatingKeys; ///< That may not have left the evacuated failure domains yet.
     };
 
     void handle(std::uint64_t exchange, http::Request request, std::shared_ptr<http::Responder> responder) override;
