Read the targets' load reports and weigh them by age

Some targets state in each answer how many requests they run and hold, how many slots they have, and how long work takes on their instance at the moment. The header was ignored: the choice of a target knew this daemon's own requests only.

Targets without reports cost what they did.

Ruled out: taking the figures as they are. A daemon among 65 sees a target every few seconds, while a report says little after one request's time.

--- a/packages/core/include/sardinehinge/core/targetscore.h
+++ b/packages/core/include/sardinehinge/core/targetscore.h
@@ -75,9 +75,16 @@
     /// requests were served.
     std::optional<double> takeMeanRelativeLatency() noexcept;
     /// Expected cost of one more request, as a multiple of an average target's; lower is better.
-    double cost(bool isRemote, bool isWarmingUp, Time now) const noexcept;
+    double cost(bool isRemote, bool isWarmingUp, Time now) const noexcept
+    {
+        return cost(isRemote, isWarmingUp, now, 1 + (static_cast<double>(m_inFlight) * inFlightPenalty));
+    }
+    /// As above, with a better estimate of the factor by which the target's current load lengthens the request.
+    double cost(bool isRemote, bool isWarmingUp, Time now, double loadFactor) const noexcept;
 
 private:
+    static constexpr double inFlightPenalty = 0.5; ///< Added to the cost factor by each request in flight.
+
     ScoreParameters m_parameters;
     double m_relativeLatency = 0;
     double m_failureRate = 0; ///< Smoothed, 0 to 1; refusals count as failures.
--- a/packages/core/include/sardinehinge/core/targetstate.h
+++ b/packages/core/include/sardinehinge/core/targetstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sardinehinge/core/balancing/loadreport.h>
 #include <sardinehinge/core/ratepermits.h>
 #include <sardinehinge/core/target.h>
 #include <sardinehinge/core/targetscore.h>
@@ -24,7 +25,9 @@
     bool isLeaving = false; ///< It is about to stop.
     std::optional<Duration> quietFor = std::nullopt; ///< It wants no request from this daemon for this time.
     std::optional<double> rateLimit = std::nullopt; ///< Requests a second that it accepts from all daemons together.
+    std::optional<LoadReport> load = std::nullopt;
 
+    /// Whether it changes no belief about the target; its load isn't one.
     bool isEmpty() const noexcept { return !isLeaving && !quietFor && !rateLimit; }
     bool operator==(const TargetNotice &) const = default;
 };
@@ -162,6 +165,11 @@
     void restore(const TargetBeliefs &beliefs);
     TargetScore &score() noexcept { return m_score; }
     const TargetScore &score() const noexcept { return m_score; }
+    /// Takes in the load that an answer reported.
+    void loadReported(const LoadReport &report, Time now) noexcept { m_load.take(report, m_score.inFlight(), now); }
+    const ReportedLoad &load() const noexcept { return m_load; }
+    /// Expected cost of one more request, as TargetScore::cost(). `usualTime`: of a request of the service.
+    double cost(bool isRemote, Duration usualTime, Time now) const noexcept;
 
 private:
     void setNextRequest(Time next) noexcept;
@@ -169,6 +177,7 @@
     TargetTiming m_timing;
     TargetBeliefs m_beliefs;
     TargetScore m_score;
+    ReportedLoad m_load;
     RatePermits m_permits;
     std::optional<Time> m_drainingSince; ///< By the registry.
     Time m_warmupEnd = 0ms;
--- a/packages/core/src/targetscore.cpp
+++ b/packages/core/src/targetscore.cpp
@@ -65,14 +65,14 @@
     m_ejectedUntil = now + m_ejectionTime;
 }
 
-double TargetScore::cost(bool isRemote, bool isWarmingUp, Time now) const noexcept
+double TargetScore::cost(bool isRemote, bool isWarmingUp, Time now, double loadFactor) const noexcept
 {
     const double age
         = static_cast<double>((now - m_lastSample).count()) / static_cast<double>(m_parameters.decayHalfLife.count());
     const double trust = m_relativeLatency == 0 ? 0.0 : std::exp2(-age);
     double cost = 1 + (trust * (m_relativeLatency - 1));
     cost *= 1 + m_parameters.failurePenalty * m_failureRate * (m_relativeLatency == 0 ? 1.0 : trust);
-    cost *= 1 + static_cast<double>(m_inFlight) * 0.5;
+    cost *= loadFactor;
     if (isRemote)
         cost *= m_parameters.remotePenalty;
     if (isWarmingUp)
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -117,6 +117,13 @@
         setNextRequest(now + m_timing.readmissionInterval);
 }
 
+double TargetState::cost(bool isRemote, Duration usualTime, Time now) const noexcept
+{
+    if (!m_load.isKnown())
+        return m_score.cost(isRemote, isWarmingUp(now), now);
+    return m_score.cost(isRemote, isWarmingUp(now), now, m_load.relativeTime(m_score.inFlight(), usualTime, now));
+}
+
 std::optional<Time> TargetState::keyedEnd() const noexcept
 {
     const auto leaving = m_beliefs.leavingSince();
