Let the load decide how much leaves a failure domain

A target in another failure domain cost twice as much, whatever the load: a daemon that sees much of its domain's demand sent 4 to 19% abroad from a domain with room, and two full domains exchanged 13% of their requests for nothing.

core/balancing/spillpolicy.h decides for each unsharded service and daemon, without messages: a share that may leave on a par, the integral of the time that leaving saves beyond its price, at most 0.25 a second; the other requests leave for a target that is clearly better (factor 3 at the default price); nothing crosses to a side that is as overloaded. A lost domain is left at once and returned to by and by; targets that warm up don't count as room at home. UsualTime compares the times of different routes. Load reports count own requests in flight, too.

E680, E681, sardinehinge_spill_share, sardinehinge_sends_total; settings routing.crossing-price and routing.spill.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <sardinehinge/core/balancing/spillpolicy.h>
+#include <sardinehinge/core/balancing/usualtime.h>
 #include <sardinehinge/core/gatewayconfig.h>
 #include <sardinehinge/core/keyrange.h>
 #include <sardinehinge/core/quarantine.h>
@@ -52,6 +54,7 @@
     std::string address;
     Duration timeout = 0ms; ///< Time left until the request's deadline.
     bool isIdempotent = false;
+    Locality locality = Locality::Home;
 
     bool operator==(const SendToTarget &) const = default;
 };
@@ -108,6 +111,15 @@
     bool operator==(const TargetBelief &) const = default;
 };
 
+/// Reports that requests of a service begin or stop to leave the failure domain, for the log.
+struct SpillReport
+{
+    std::string service;
+    SpillChange change;
+
+    bool operator==(const SpillReport &) const = default;
+};
+
 /// Asks for permits for a rate-limited target. The adapter answers with GatewayRouter::permitsGranted().
 struct AskPermits
 {
@@ -144,7 +156,7 @@
 };
 
 using GatewayEffect = std::variant<SendToTarget, CancelSend, ForwardAnswer, EndWithError, OwnerRefused, TargetBelief,
-                                   AskPermits, ProbeTarget, TargetCrashed, QuarantineRefuted>;
+                                   AskPermits, ProbeTarget, TargetCrashed, QuarantineRefuted, SpillReport>;
 
 /// How an attempt ended, as reported by the adapter.
 struct GatewayAttemptEnd
@@ -182,6 +194,8 @@
     Duration lostOwnerRetryAfter = std::chrono::milliseconds(700); ///< Retry delay for callers of keys whose owner is
                                                                    ///< lost: about half a lease.
     std::size_t maxQueuedRequests = 2000; ///< Over all services.
+    bool adaptsSpill = true; ///< Whether SpillPolicy decides what leaves the failure domain, or a fixed cost factor.
+    double crossingPrice = SpillParameters().crossingPrice;
     TargetTiming targets;
 
     bool operator==(const GatewayLimits &) const = default;
@@ -204,7 +218,7 @@
 
     /// Applies a configuration. Returns false, without any change, unless it is newer than the current one.
     bool setConfig(const GatewayConfig &config);
-    void setLimits(const GatewayLimits &limits) { m_limits = limits; }
+    void setLimits(const GatewayLimits &limits);
     /// Sets how many daemons share the retry allowance; 0 counts as 1.
     void setDaemonCount(std::size_t count) { m_daemonCount = std::max<std::size_t>(count, 1); }
     Effects setTargets(const std::vector<RegisteredTarget> &targets, Time now);
@@ -238,6 +252,8 @@
     /// Returns the mean relative latency, by target id, of the targets that served enough requests since their last
     /// value was returned. See TargetScore::takeMeanRelativeLatency().
     std::map<std::string, double> takeRelativeLatencies(const std::string &service);
+    /// Returns the share of the requests that may leave the failure domain, by unsharded service.
+    std::map<std::string, double> spillShares() const;
     bool hasConfig() const noexcept { return m_configVersion.has_value(); }
     std::uint64_t configVersion() const noexcept { return m_configVersion.value_or(0); }
     const RangeOwners *owners(const std::string &service) const noexcept;
@@ -265,6 +281,8 @@
         std::vector<RequestId> queue; ///< By priority, then arrival.
         std::map<std::uint32_t, std::uint32_t> keyLoad;
         std::string preferred; ///< A rate-limited target that would be chosen if there were a permit for it.
+        SpillPolicy spill;
+        std::map<std::string, UsualTime> usualTimes; ///< By route name.
     };
 
     struct Request
@@ -330,6 +348,11 @@
                        const std::vector<BeliefChange> &changes);
     void withdrawUnsent(const std::string &service, const TargetIdentity &target);
     TargetChoice chooseCheapest(const Request &request, Service &service, Time now);
+    /// Returns the cost factors by Locality for the next request of an unsharded service.
+    std::array<double, localities> localityFactors(const SpillPolicy &spill);
+    Locality localityOf(const Target &target) const noexcept;
+    void recordSpill(const Request &request, const Target &target, const GatewayAttemptEnd &end, Duration taken,
+                     Time now);
     /// When the request's quarantine ends; 0 if it isn't quarantined.
     Time quarantineEnd(const RequestFingerprint &fingerprint, Time now) const noexcept;
     void rejectQuarantined(Request &request, Time end, Time now);
--- a/packages/core/src/balancing/loadreport.cpp
+++ b/packages/core/src/balancing/loadreport.cpp
@@ -11,6 +11,8 @@
 constexpr double meanGain = 0.2; ///< Weight of a new report in the means.
 constexpr Duration factorHalfLife = std::chrono::milliseconds(50); ///< The work factor changes many times a second.
 
+constexpr double ownShare = 0.75; ///< Added to the relative time by own requests that take all slots.
+
 /// Weight of a value of this age, which halves with each half-life.
 double weightOf(Duration age, Duration halfLife) noexcept
 {
@@ -67,7 +69,9 @@
     const double unseen = others * (1 - weightOf(age, usualTime)); // Their variance is their mean, as for any arrivals.
     const double excess = meanExcess(others + ownInFlight + 1 - slots, std::sqrt(std::max(unseen, 0.0)));
     const double change = (m_latest.workFactor / std::max(m_meanFactor, 0.01)) - 1;
-    return (1 + (excess / slots)) * (1 + (change * weightOf(age, factorHalfLife)));
+    // Own requests that still run there lengthen this one more surely than a mean of others does.
+    const double own = 1 + (ownShare * ownInFlight / slots);
+    return own * (1 + (excess / slots)) * (1 + (change * weightOf(age, factorHalfLife)));
 }
 
 } // namespace sardinehinge::core
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -53,7 +53,17 @@
 
 GatewayRouter::Service &GatewayRouter::serviceOf(const std::string &name)
 {
-    return m_services[name];
+    const auto [found, isNew] = m_services.try_emplace(name);
+    if (isNew)
+        found->second.spill.setCrossingPrice(m_limits.crossingPrice);
+    return found->second;
+}
+
+void GatewayRouter::setLimits(const GatewayLimits &limits)
+{
+    m_limits = limits;
+    for (auto &[name, service] : m_services)
+        service.spill.setCrossingPrice(limits.crossingPrice);
 }
 
 bool GatewayRouter::isSharded(const std::string &service) const
@@ -221,7 +231,8 @@
     target.state.requestSent(now);
     target.nextProbe = now + m_limits.nonOwnerProbeInterval;
     m_effects.emplace_back(SendToTarget{request.head.id, request.attempts, target.entry.identity, request.service,
-                                        target.entry.address, request.deadline - now, request.route->isIdempotent});
+                                        target.entry.address, request.deadline - now, request.route->isIdempotent,
+                                        localityOf(target)});
 }
 
 void GatewayRouter::dispatchQueued(const std::string &serviceName, Time now)
@@ -271,8 +282,12 @@
         return;
     }
     target->second.notOwnerCount = 0;
+    if (!isSharded(request.service))
+        recordSpill(request, target->second, end, taken, now);
     target->second.state.score().attemptFinished(observationOf(end.end, end.isServerError), taken,
                                                  request.route->latencyObjective, routeBaseline, now);
+    if (end.notice.load)
+        target->second.state.loadReported(*end.notice.load, now);
 }
 
 bool GatewayRouter::tryClaimRetry(Request &request, AttemptEnd end, bool isServerError, Time now)
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -6,6 +6,15 @@
 /// The part of GatewayRouter that knows the targets' state and chooses among them.
 namespace sardinehinge::core {
 
+namespace {
+
+double ratio(Duration part, Duration whole) noexcept
+{
+    return whole <= 0ms ? 0 : static_cast<double>(part.count()) / static_cast<double>(whole.count());
+}
+
+} // namespace
+
 GatewayRouter::Effects GatewayRouter::setTargets(const std::vector<RegisteredTarget> &targets, Time now)
 {
     std::map<std::string, std::map<std::string, const RegisteredTarget *>> byService;
@@ -97,12 +106,24 @@
             ++m_targetCounts.at(static_cast<std::size_t>(target.state.condition(now)));
             reportBeliefs(name, target.entry.identity, target.state.beliefs().takeEnded(now));
         }
+        if (const auto change = service.spill.takeChange(now); change && m_limits.adaptsSpill)
+            m_effects.emplace_back(SpillReport{name, *change});
         for (const DepartedTargets::Departed &departed : service.departed.expire(now))
             reportBeliefs(name, departed.target, departed.beliefs.drop(now));
     }
     return takeEffects();
 }
 
+std::map<std::string, double> GatewayRouter::spillShares() const
+{
+    std::map<std::string, double> shares;
+    for (const auto &[name, service] : m_services) {
+        if (!isSharded(name))
+            shares[name] = m_limits.adaptsSpill ? service.spill.share() : 0;
+    }
+    return shares;
+}
+
 Time GatewayRouter::admissionTime(const TargetState &state, Time now) noexcept
 {
     if (state.isQuiet(now))
@@ -177,6 +198,34 @@
     return {&target->second, GatewayError::NoOwner, false};
 }
 
+Locality GatewayRouter::localityOf(const Target &target) const noexcept
+{
+    return target.entry.failureDomain == m_failureDomain ? Locality::Home : Locality::Abroad;
+}
+
+std::array<double, localities> GatewayRouter::localityFactors(const SpillPolicy &spill)
+{
+    if (!m_limits.adaptsSpill)
+        return {1, 1};
+    std::uniform_real_distribution<double> draw(0, 1);
+    return spill.factors(spill.share() == 0 ? 0 : draw(m_random));
+}
+
+void GatewayRouter::recordSpill(const Request &request, const Target &target, const GatewayAttemptEnd &end,
+                                Duration taken, Time now)
+{
+    Service &service = serviceOf(request.service);
+    if (end.end == AttemptEnd::Answered && !end.isServerError) {
+        UsualTime &usual = service.usualTimes[request.route->name];
+        const double relativeTime = usual.add(taken);
+        // The wait for a target at home is part of what staying costs.
+        const bool hasWaited = request.attempts == 1 && localityOf(target) == Locality::Home;
+        const Duration wait = hasWaited ? request.sentAt - request.arrived : Duration(0);
+        service.spill.served(localityOf(target), relativeTime * (1 + ratio(wait, taken)), now);
+    } else if (end.end == AttemptEnd::Shed)
+        service.spill.refused(localityOf(target), now);
+}
+
 GatewayRouter::TargetChoice GatewayRouter::chooseCheapest(const Request &request, Service &service, Time now)
 {
     Target *best = nullptr;
@@ -186,6 +235,9 @@
     Time firstAdmission = Time::max();
     service.preferred.clear();
     std::uniform_real_distribution<double> jitter(1.0, 1.1);
+    const auto factors = localityFactors(service.spill);
+    const bool mayCross = !m_limits.adaptsSpill || service.spill.mayCross(now);
+    UsableTargets usable{};
     for (auto &[id, target] : service.targets) {
         const TargetState &state = target.state;
         const TargetScore &score = state.score();
@@ -203,10 +255,14 @@
         if (score.isEjected(now))
             continue;
         isAnyUsable = true;
-        if (!score.hasRoom())
+        // A target at home that is warming up relieves nobody yet.
+        const auto locality = state.isWarmingUp(now) ? Locality::Abroad : localityOf(target);
+        ++usable.at(static_cast<std::size_t>(locality));
+        if (!score.hasRoom() || (locality == Locality::Abroad && !mayCross))
             continue;
-        const bool isRemote = target.entry.failureDomain != m_failureDomain;
-        const double cost = score.cost(isRemote, state.isWarmingUp(now), now) * jitter(m_random);
+        const bool isPenalized = !m_limits.adaptsSpill && localityOf(target) == Locality::Abroad;
+        const double cost = state.cost(isPenalized, service.baselineLatency, now)
+            * factors.at(static_cast<std::size_t>(locality)) * jitter(m_random);
         if (isPermitted && cost < bestCost) {
             bestCost = cost;
             best = &target;
@@ -215,6 +271,7 @@
             service.preferred = id;
         }
     }
+    service.spill.update(usable, now);
     if (preferredCost >= bestCost)
         service.preferred.clear();
     if (best == nullptr && !isAnyUsable) {
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -36,6 +36,7 @@
     prometheus::Family<prometheus::Counter> &m_peerBytes;
     prometheus::Family<prometheus::Counter> &m_platformCalls;
     prometheus::Family<prometheus::Counter> &m_permits;
+    prometheus::Family<prometheus::Counter> &m_sends;
     std::mutex m_mutex;
     std::vector<ReadGauge> m_gauges;
 
@@ -55,6 +56,8 @@
     prometheus::Counter &requestsQuarantined; ///< Rejected because targets that ran equal requests crashed.
     prometheus::Counter &permitsGranted;
     prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
+    prometheus::Counter &sendsHome; ///< To targets in the own failure domain.
+    prometheus::Counter &sendsAbroad;
 };
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -126,6 +126,8 @@
     core::GatewayLimits limits;
     limits.retries = settings.retries;
     limits.targets.drainBound = settings.drainBound;
+    limits.adaptsSpill = settings.adaptsSpill;
+    limits.crossingPrice = settings.crossingPrice;
     return limits;
 }
 
@@ -362,6 +364,7 @@
                                       attemptEnded(request, attempt, service, target, end);
                                   });
     exchange.sends[effect.attempt] = id;
+    (effect.locality == core::Locality::Home ? m_metrics.sendsHome : m_metrics.sendsAbroad).Increment();
 }
 
 void GatewayTraffic::attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
@@ -460,6 +463,17 @@
         m_untold.push_back(effect);
 }
 
+void GatewayTraffic::act(const core::SpillReport &effect)
+{
+    const core::SpillChange &change = effect.change;
+    m_events.record(Severity::Info, change.hasBegun ? core::events::spillBegan : core::events::spillEnded,
+                    "service=" + effect.service + " home_time=" + std::to_string(change.homeTime)
+                        + " abroad_time=" + std::to_string(change.abroadTime)
+                        + " abroad_age_ms=" + std::to_string(milliseconds(change.abroadAge))
+                        + " home_targets=" + std::to_string(change.homeTargets)
+                        + (change.hasBegun ? "" : " lasted_ms=" + std::to_string(milliseconds(change.lasted))));
+}
+
 void GatewayTraffic::act(const core::AskPermits &effect)
 {
     m_tellControl(effect); // A full ring loses it: the router asks again later.
@@ -519,9 +533,24 @@
     carryOut(m_router.surveyTargets(now));
     for (std::size_t index = 0; index < core::targetConditions; ++index)
         m_targetCounts.at(index).store(m_router.targetCounts().at(index));
+    showSpill();
     std::erase_if(m_untold, [this](const core::TargetBelief &belief) { return m_tellControl(belief); });
 }
 
+void GatewayTraffic::showSpill()
+{
+    for (const auto &[service, share] : m_router.spillShares()) {
+        auto &shown = m_spillShares[service];
+        if (!shown) {
+            shown = std::make_shared<std::atomic<double>>(0.0);
+            m_metrics.addGauge("sardinehinge_spill_share",
+                               "Share of a service's requests that may leave the failure domain",
+                               {{"service", service}}, [shown] { return shown->load(); });
+        }
+        shown->store(share);
+    }
+}
+
 void GatewayTraffic::reportLoad(core::Time now)
 {
     if (now - m_lastLoadReport < loadReportPeriod)
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -95,9 +95,11 @@
     void act(const core::ProbeTarget &effect);
     void act(const core::TargetCrashed &effect);
     void act(const core::QuarantineRefuted &effect);
+    void act(const core::SpillReport &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
                       const core::TargetIdentity &target, const http::ExchangeResult &end);
     void surveyTargets(core::Time now);
+    void showSpill();
     void armTimer();
     void onTimer();
     void reportLoad(core::Time now);
@@ -125,6 +127,7 @@
     core::Time m_lastSurvey{};
     std::vector<core::TargetBelief> m_untold; ///< Didn't fit into the control duty's ring.
     std::array<std::atomic<std::size_t>, core::targetConditions> m_targetCounts{}; ///< For the metrics.
+    std::map<std::string, std::shared_ptr<std::atomic<double>>> m_spillShares; ///< For the metrics.
     bool m_hasTargets = false;
     std::atomic<bool> m_isReady = false;
     std::atomic<bool> m_isStopping = false;
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -24,6 +24,7 @@
     , m_permits(
           counters(m_registry, "sardinehinge_permits_total",
                    "Permits for rate-limited targets that this daemon got, and requests for them not met in full"))
+    , m_sends(counters(m_registry, "sardinehinge_sends_total", "Requests sent to targets by their failure domain"))
     , requestsDone(m_requests.Add({{"outcome", "done"}}))
     , requestsNotRun(m_requests.Add({{"outcome", "not_run"}}))
     , requestsUnknown(m_requests.Add({{"outcome", "unknown"}}))
@@ -45,6 +46,8 @@
                               .Add({}))
     , permitsGranted(m_permits.Add({{"outcome", "granted"}}))
     , permitsDenied(m_permits.Add({{"outcome", "denied"}}))
+    , sendsHome(m_sends.Add({{"failure_domain", "home"}}))
+    , sendsAbroad(m_sends.Add({{"failure_domain", "abroad"}}))
 {
 }
 
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -168,6 +168,8 @@
     std::uint64_t memoryBytes = 256ULL << 20;
     std::uint32_t linkMbps = 0; ///< Bandwidth of this instance's link; 0: not said.
     std::size_t descriptors = 4096;
+    bool adaptsSpill = true; ///< Whether the load decides what leaves the failure domain, or a fixed cost factor.
+    double crossingPrice = core::SpillParameters().crossingPrice;
     bool isFirstStart = false; ///< No daemon of this deployment has run before.
 
     bool operator==(const GatewaySettings &) const = default;
