--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -81,5 +81,7 @@
 constexpr std::uint32_t evacuationEnded = 671;
 constexpr std::uint32_t evacuationComplete = 672;
 constexpr std::uint32_t targetCold = 673;
+constexpr std::uint32_t spillBegan = 680;
+constexpr std::uint32_t spillEnded = 681;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/src/targetstate.cpp
+++ b/packages/core/src/targetstate.cpp
@@ -125,6 +125,13 @@
     return std::min(m_beliefs.rateLimit().value_or(m_coldRate), m_coldRate);
 }
 
+double TargetState::cost(bool isRemote, Duration usualTime, Time now) const noexcept
+{
+    if (!m_load.isKnown())
+        return m_score.cost(isRemote, isWarmingUp(now), now);
+    return m_score.cost(isRemote, isWarmingUp(now), now, m_load.relativeTime(m_score.inFlight(), usualTime, now));
+}
+
 std::optional<Time> TargetState::keyedEnd() const noexcept
 {
     const auto leaving = m_beliefs.leavingSince();
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -37,6 +37,7 @@
     prometheus::Family<prometheus::Counter> &m_platformCalls;
     prometheus::Family<prometheus::Counter> &m_permits;
     prometheus::Family<prometheus::Counter> &m_feedReads;
+    prometheus::Family<prometheus::Counter> &m_sends;
     std::mutex m_mutex;
     std::vector<ReadGauge> m_gauges;
 
@@ -59,6 +60,8 @@
     prometheus::Counter &feedReadsServed; ///< Other daemons' requests for changes, whatever their outcome.
     prometheus::Counter &permitsGranted;
     prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
+    prometheus::Counter &sendsHome; ///< To targets in the own failure domain.
+    prometheus::Counter &sendsAbroad;
 };
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -26,6 +26,7 @@
                    "Permits for rate-limited targets that this daemon got, and requests for them not met in full"))
     , m_feedReads(counters(m_registry, "sardinehinge_feed_reads_total",
                            "Changes of configurations and targets read from daemons that watch the store"))
+    , m_sends(counters(m_registry, "sardinehinge_sends_total", "Requests sent to targets by their failure domain"))
     , requestsDone(m_requests.Add({{"outcome", "done"}}))
     , requestsNotRun(m_requests.Add({{"outcome", "not_run"}}))
     , requestsUnknown(m_requests.Add({{"outcome", "unknown"}}))
@@ -50,6 +51,8 @@
     , feedReadsServed(m_feedReads.Add({{"outcome", "served"}}))
     , permitsGranted(m_permits.Add({{"outcome", "granted"}}))
     , permitsDenied(m_permits.Add({{"outcome", "denied"}}))
+    , sendsHome(m_sends.Add({{"failure_domain", "home"}}))
+    , sendsAbroad(m_sends.Add({{"failure_domain", "abroad"}}))
 {
 }
 
