Bound what callers and targets make the process hold

Cause: request bodies were held whole two or three times (the caller's message, the copy for the target, the client's message), responses twice for a moment, and nothing bounded their sum; at the limit of connections newcomers were closed. Change: the server's bodies, the client's responses and the responses that wait for callers have shares of one account, whose size follows from memory-mb (held-mb in the settings overrides it). A body grows in parts with what arrives and is held once: the target's request shares it, the target's response is moved. A request without room gets 503 with Retry-After, a body must arrive at 512 bytes a second in each period of the read timeout instead of being whole within it, and at the limit of connections the longest idle or slowest one is closed for the new one. The allocator gives large blocks back when freed. Ruled out: reserving the announced length, which a caller need not send. Bodies are not streamed to targets.

--- a/packages/core/include/sardinehinge/core/eventnumbers.h
+++ b/packages/core/include/sardinehinge/core/eventnumbers.h
@@ -77,5 +77,7 @@
 constexpr std::uint32_t crashCounted = 641;
 constexpr std::uint32_t requestQuarantined = 642;
 constexpr std::uint32_t quarantineEnded = 643;
+constexpr std::uint32_t heldBytesRefused = 660;
+constexpr std::uint32_t callerDisplaced = 661;
 
 } // namespace sardinehinge::core::events
--- a/packages/core/tests/memoryaccount_test.cpp
+++ b/packages/core/tests/memoryaccount_test.cpp
@@ -1,3 +1,4 @@
+#include <sardinehinge/core/admission/linebudget.h>
 #include <sardinehinge/core/admission/memoryaccount.h>
 
 #include <catch2/catch.hpp>
@@ -130,6 +131,17 @@
     CHECK_FALSE(rule.isEnough(5119));
 }
 
+TEST_CASE("Beyond its budget of lines a second, events are counted for the next line")
+{
+    LineBudget budget(2);
+    CHECK(budget.take(10s) == 0U);
+    CHECK(budget.take(10s) == 0U);
+    CHECK(budget.take(10s + 500ms) == std::nullopt);
+    CHECK(budget.take(10s + 999ms) == std::nullopt);
+    CHECK(budget.take(11s) == 2U);
+    CHECK(budget.take(11s) == 0U);
+}
+
 TEST_CASE("The rate of a transfer is that of its last seconds")
 {
     ProgressMeter meter(10s);
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -21,6 +21,9 @@
 /// A caller that doesn't read its answer for so long is given up.
 constexpr std::chrono::seconds writeTime(20);
 
+/// When a caller may come again that found no room for its request.
+constexpr std::chrono::seconds noRoomRetryAfter(1);
+
 constexpr int statusNotFound = 404;
 constexpr int statusBadRequest = 400;
 constexpr int statusBadGateway = 502;
@@ -102,6 +105,10 @@
         return "drain";
     case http::CloseReason::ConnectionLimit:
         return "connection_limit";
+    case http::CloseReason::Displaced:
+        return "displaced";
+    case http::CloseReason::NoRoom:
+        return "no_room";
     case http::CloseReason::CallerLeft:
         return "caller_left";
     }
@@ -171,11 +178,13 @@
     , m_events(events)
     , m_metrics(metrics)
     , m_tellControl(std::move(tellControl))
+    , m_account(settings.heldBytes != 0 ? core::accountLimitsOf(settings.heldBytes)
+                                        : core::accountLimitsFor(settings.memoryBytes))
     , m_timer(m_worker.context())
     , m_readyHandler(*this)
-    , m_callers(m_worker.context(), *this, serverLimits())
+    , m_callers(m_worker.context(), *this, serverLimits(), &m_account)
     , m_readiness(m_worker.context(), m_readyHandler)
-    , m_client(m_worker.context())
+    , m_client(m_worker.context(), {}, &m_account)
     , m_router(std::random_device()(), settings.failureDomain, limitsOf(settings))
     , m_updates(updateRing, m_worker.waker([this] {
         m_updates.drain(
@@ -186,6 +195,22 @@
         m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=\"" + detail + "\"");
     });
     m_router.setDaemonCount(settings.daemons);
+    m_account.onRefusal([this](core::HeldUse use, const std::string &peer, std::uint64_t bytes, std::uint64_t total) {
+        if (const auto suppressed = m_refusalLines.take(bootTime()))
+            m_events.record(Severity::Warning, core::events::heldBytesRefused,
+                            std::string("use=") + core::heldUseNames.at(static_cast<std::size_t>(use)) + " peer=" + peer
+                                + " bytes=" + std::to_string(bytes) + " held=" + std::to_string(total) + " limit="
+                                + std::to_string(m_account.limit()) + " suppressed=" + std::to_string(*suppressed));
+    });
+    for (std::size_t index = 0; index < core::heldUses; ++index) {
+        const auto use = static_cast<core::HeldUse>(index);
+        m_metrics.addGauge("sardinehinge_held_bytes", "Bytes held for callers and targets by use",
+                           {{"use", core::heldUseNames.at(index)}},
+                           [this, use] { return static_cast<double>(m_account.bytes(use)); });
+        m_metrics.addGauge("sardinehinge_held_refused", "Holders that found no room or lost theirs, since the start",
+                           {{"use", core::heldUseNames.at(index)}},
+                           [this, use] { return static_cast<double>(m_account.refusals(use)); });
+    }
     for (std::size_t index = 0; index < core::targetConditions; ++index)
         m_metrics.addGauge("sardinehinge_targets", "Known targets by condition",
                            {{"condition", conditionNames.at(index)}},
@@ -301,6 +326,8 @@
     edges::CallerHead head = m_dialect->readHead(request);
     head.request.id = id;
     Exchange &exchange = m_exchanges[id];
+    if (!request.body.empty())
+        exchange.body = std::make_shared<const std::string>(std::exchange(request.body, {}));
     exchange.message = std::move(request);
     exchange.requestId = std::move(head.requestId);
     exchange.responder = std::move(responder);
@@ -329,11 +356,23 @@
 {
     m_events.record(Severity::Warning, core::events::gatewayRequestEnded,
                     "peer=" + peer + " end=rejected status=" + std::to_string(status) + " reason=\"" + detail + "\"");
-    return {status, {{"Content-Type", "text/plain"}}, detail + "\n"};
+    http::Response response{status, {{"Content-Type", "text/plain"}}, detail + "\n"};
+    if (status == statusUnavailable)
+        response.headers.emplace_back("Retry-After", secondsText(noRoomRetryAfter));
+    return response;
 }
 
 void GatewayTraffic::connectionClosed(const http::ConnectionEnd &end)
 {
+    if (end.reason == http::CloseReason::Displaced) {
+        if (const auto suppressed = m_displacedLines.take(bootTime()))
+            m_events.record(Severity::Warning, core::events::callerDisplaced,
+                            "peer=" + end.peer + " idle_ms=" + std::to_string(milliseconds(end.idleTime))
+                                + " requests=" + std::to_string(end.requests)
+                                + " connections=" + std::to_string(m_callers.connections())
+                                + " suppressed=" + std::to_string(*suppressed));
+        return;
+    }
     const bool isUsual = end.reason == http::CloseReason::IdleTimeout || end.reason == http::CloseReason::Drain;
     m_events.record(isUsual && !end.hasInput ? Severity::Debug : Severity::Info, core::events::callerConnectionClosed,
                     "peer=" + end.peer + " reason=" + nameOf(end.reason)
@@ -356,16 +395,16 @@
     exchange.route += " try=" + effect.target.id + "@" + std::to_string(milliseconds(bootTime() - exchange.arrived));
     const http::Request message = m_dialect->forTarget(exchange.message, effect);
     const http::ExchangeOptions options = m_dialect->options(exchange.message, effect);
-    const auto id = m_client.send(effect.address, message, options,
-                                  [this, request = effect.id, attempt = effect.attempt, service = effect.service,
-                                   target = effect.target](const http::ExchangeResult &end) {
-                                      attemptEnded(request, attempt, service, target, end);
-                                  });
+    const auto id = m_client.send(
+        effect.address, message, options,
+        [this, request = effect.id, attempt = effect.attempt, service = effect.service, target = effect.target](
+            http::ExchangeResult end) { attemptEnded(request, attempt, service, target, std::move(end)); },
+        exchange.body);
     exchange.sends[effect.attempt] = id;
 }
 
 void GatewayTraffic::attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
-                                  const core::TargetIdentity &target, const http::ExchangeResult &end)
+                                  const core::TargetIdentity &target, http::ExchangeResult end)
 {
     core::GatewayAttemptEnd read = m_dialect->readEnd(end);
     read.id = id;
@@ -377,7 +416,7 @@
         exchange.route += std::string(" ") + nameOf(read.end) + (read.isServerError ? "_error" : "") + "@"
             + std::to_string(milliseconds(bootTime() - exchange.arrived));
         if (end.outcome == http::ExchangeOutcome::Complete)
-            exchange.answer = end.response;
+            exchange.answer = std::move(end.response);
         else
             exchange.route += " reason=\"" + end.detail + "\"";
     }
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -2,6 +2,7 @@
 
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/admission/linebudget.h>
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
@@ -43,6 +44,9 @@
     std::size_t connections() const noexcept { return m_callers.connections(); }
 
 private:
+    /// Of each kind of line on callers that are refused or closed at a limit.
+    static constexpr std::uint32_t limitLinesPerSecond = 5;
+
     /// Answers whether the balancer may send callers here.
     class ReadyHandler : public http::RequestHandler
     {
@@ -62,7 +66,8 @@
     /// A caller's request while it is under way.
     struct Exchange
     {
-        http::Request message;
+        http::Request message; ///< Without its body.
+        std::shared_ptr<const std::string> body; ///< Shared with the sends; null if empty.
         std::string requestId;
         std::shared_ptr<http::Responder> responder;
         core::RequestFingerprint fingerprint;
@@ -96,7 +101,7 @@
     void act(const core::TargetCrashed &effect);
     void act(const core::QuarantineRefuted &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
-                      const core::TargetIdentity &target, const http::ExchangeResult &end);
+                      const core::TargetIdentity &target, http::ExchangeResult end);
     void surveyTargets(core::Time now);
     void armTimer();
     void onTimer();
@@ -110,6 +115,7 @@
     EventLog &m_events;
     Metrics &m_metrics;
     std::function<bool(FromTraffic)> m_tellControl;
+    http::ResourceAccount m_account; ///< Outlives the worker, whose tasks hold shares of it.
     Worker m_worker{"traffic"};
     boost::asio::steady_timer m_timer;
     bool m_isTimerArmed = false;
@@ -118,6 +124,8 @@
     http::Server m_readiness;
     http::Client m_client;
     core::GatewayRouter m_router;
+    core::LineBudget m_refusalLines{limitLinesPerSecond};
+    core::LineBudget m_displacedLines{limitLinesPerSecond};
     Ring<ToTraffic> m_updates;
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::set<std::string> m_shardedServices;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -8,12 +8,14 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace {
 
 constexpr int exitBadSettings = 2;
+constexpr int largeAllocationBytes = 128 * 1024;
 constexpr const char *version = "sardinehinged 0.1.0";
 
 /// Blocks SIGTERM, SIGINT and SIGHUP for all threads and returns a descriptor that reports them, or -1.
@@ -33,6 +35,9 @@
 int runGateway(int argc, char **argv, const std::string &settingsPath)
 {
     using namespace sardinehinge;
+    // Large bodies go back to the system when they are freed. Without this, the allocator would raise the size from
+    // which it does so with the first of them, and keep their pages for later.
+    mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
     const int signals = openSignals();
     QCoreApplication application(argc, argv);
     daemon::Gateway gateway(settingsPath);
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -166,6 +166,7 @@
     core::Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end of the process.
     core::Duration longestLease = std::chrono::seconds(10); ///< That targets accept.
     std::uint64_t memoryBytes = 256ULL << 20;
+    std::uint64_t heldBytes = 0; ///< For what callers and targets make the process hold; 0: follows from the memory.
     std::uint32_t linkMbps = 0; ///< Bandwidth of this instance's link; 0: not said.
     std::size_t descriptors = 4096;
     bool isFirstStart = false; ///< No daemon of this deployment has run before.
--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/types.h>
 #include <sardinehinge/http/message.h>
+#include <sardinehinge/http/resourceaccount.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -94,7 +95,9 @@
     using Callback = std::function<void(ExchangeResult)>;
     using ExchangeId = std::uint64_t;
 
-    Client(boost::asio::io_context &context, ClientLimits limits = {});
+    /// `account`, unless null, counts the responses that arrive; one that finds no room there ends as
+    /// TruncatedResponse. It must outlive the context's handlers.
+    explicit Client(boost::asio::io_context &context, ClientLimits limits = {}, ResourceAccount *account = nullptr);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
@@ -102,8 +105,9 @@
     /// Sends `request` to `address` (IP address and port) and calls `done` exactly once, within `timeout`. The `Host`
     /// header is `address` unless the request has one. Returns an id for cancel().
     ExchangeId send(const std::string &address, const Request &request, core::Duration timeout, Callback done);
-    /// As above, with all options.
-    ExchangeId send(const std::string &address, const Request &request, const ExchangeOptions &options, Callback done);
+    /// As above, with all options. `body`, unless null, is sent in place of that of the request, and not copied.
+    ExchangeId send(const std::string &address, const Request &request, const ExchangeOptions &options, Callback done,
+                    std::shared_ptr<const std::string> body = nullptr);
     /// Opens a connection to `address` for later exchanges and calls `done` once.
     void connect(const std::string &address, std::function<void(ConnectOutcome)> done);
     /// Closes the connection of the exchange. Its callback is still called, with the outcome so far. Unknown ids are
--- a/packages/http/include/sardinehinge/http/resourceaccount.h
+++ b/packages/http/include/sardinehinge/http/resourceaccount.h
@@ -36,6 +36,8 @@
         /// will ask for beyond that, or an upper bound. Returns false if there is no room: the share is unchanged, and
         /// its holder must end. A share that was taken back gets nothing.
         [[nodiscard]] bool resize(std::uint64_t bytes, std::uint64_t missing = 0);
+        /// Takes bytes that the process holds already, also beyond the account.
+        void hold(std::uint64_t bytes);
         /// Changes the use, with the same bytes.
         void setUse(core::HeldUse use);
         /// Notes that bytes arrived or left.
@@ -64,7 +66,12 @@
     ResourceAccount(const ResourceAccount &) = delete;
     ResourceAccount &operator=(const ResourceAccount &) = delete;
 
-    void setLimits(core::AccountLimits limits) { m_limits = limits; }
+    /// Called for each share that is taken back or refused, with its use, its peer, the bytes that it has or asks for,
+    /// and the bytes of all shares before.
+    using RefusalObserver
+        = std::function<void(core::HeldUse use, const std::string &peer, std::uint64_t bytes, std::uint64_t total)>;
+    void onRefusal(RefusalObserver observer) { m_onRefusal = std::move(observer); }
+    std::uint64_t limit() const noexcept { return m_limits.bytes; }
     /// Opens a share without bytes for `peer`, an IP address with or without a port.
     Share open(core::HeldUse use, const std::string &peer, TakenBack takenBack);
     /// Bytes held for a use. Safe to call from every thread.
@@ -91,10 +98,12 @@
     bool resize(std::uint64_t id, std::uint64_t bytes, std::uint64_t missing);
     void set(Holder &holder, std::uint64_t bytes);
     void close(std::uint64_t id);
+    void noteRefusal(const Holder &holder, std::uint64_t bytes);
 
     core::AccountLimits m_limits;
     std::map<std::uint64_t, Holder> m_holders; ///< By id.
     std::uint64_t m_nextId = 1;
+    RefusalObserver m_onRefusal;
     std::array<std::atomic<std::uint64_t>, core::heldUses> m_bytes{};
     std::array<std::atomic<std::uint64_t>, core::heldUses> m_refusals{};
 };
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -3,6 +3,7 @@
 #include <sardinehinge/core/result.h>
 #include <sardinehinge/core/types.h>
 #include <sardinehinge/http/message.h>
+#include <sardinehinge/http/resourceaccount.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,9 +18,11 @@
 {
     std::uint32_t headerBytes = 16 * 1024; ///< Largest accepted request header.
     std::uint64_t bodyBytes = 1024ULL * 1024; ///< Largest accepted request body.
-    std::size_t connections = 4000; ///< Further connections are closed on accept.
-    /// For a whole request, from its first byte.
+    /// With more, the longest idle or slowest unfinished one is closed; the new one if all have a request in work.
+    std::size_t connections = 4000;
+    /// For the head of a request, from its first byte. Also the period in which a body must progress.
     core::Duration readTimeout = core::Duration(std::chrono::seconds(10));
+    double bodyBytesPerSecond = 512; ///< Least rate of a body in each such period; its whole time has no limit.
     core::Duration idleTimeout = core::Duration(std::chrono::seconds(60)); ///< Between two requests of a connection.
     core::Duration writeTimeout = core::Duration(std::chrono::seconds(10)); ///< For a whole response.
 
@@ -40,7 +43,17 @@
 };
 
 /// Why a connection of a caller was closed other than after a response or by an idle caller.
-enum class CloseReason { IdleTimeout, ReadTimeout, ReadFailed, WriteFailed, Drain, ConnectionLimit, CallerLeft };
+enum class CloseReason {
+    IdleTimeout,
+    ReadTimeout,
+    ReadFailed,
+    WriteFailed,
+    Drain,
+    ConnectionLimit, ///< Just accepted, and no other could be closed for it.
+    Displaced, ///< For a new connection, at the limit.
+    NoRoom, ///< Its response found no room in the account of bytes.
+    CallerLeft
+};
 
 /// A closed connection of a caller.
 struct ConnectionEnd
@@ -73,11 +86,15 @@
 ///
 /// Responses are sent in the order of the requests, since the next request is read after the response to the previous
 /// one. Conflicting, repeated or negative lengths, unknown transfer codings, oversized headers or bodies and slow
-/// requests are rejected with 400, 408, 413 or 431 and the connection is closed; they don't reach handle().
+/// requests are rejected with 400, 408, 413 or 431 and the connection is closed; they don't reach handle(). So are
+/// those that find no room in the account of bytes, with 503.
 class Server
 {
 public:
-    Server(boost::asio::io_context &context, RequestHandler &handler, ServerLimits limits = {});
+    /// `account`, unless null, counts requests, until they are answered, and responses, until they are written. It must
+    /// outlive the context's handlers.
+    Server(boost::asio::io_context &context, RequestHandler &handler, ServerLimits limits = {},
+           ResourceAccount *account = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -1,6 +1,7 @@
 #include <sardinehinge/http/client.h>
 
 #include "addresses.h"
+#include "bodies.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -89,9 +90,10 @@
 
 struct Client::State
 {
-    State(asio::io_context &ioContext, ClientLimits clientLimits)
+    State(asio::io_context &ioContext, ClientLimits clientLimits, ResourceAccount *resourceAccount)
         : context(ioContext)
         , limits(clientLimits)
+        , account(resourceAccount)
     {
     }
 
@@ -136,6 +138,7 @@
 
     asio::io_context &context;
     ClientLimits limits;
+    ResourceAccount *account; ///< Counts the responses that arrive; may be null.
     ExchangeId nextId = 1;
     std::map<std::string, std::deque<IdleStream>> idle;
     SteadyTime nextExpiryCheck;
@@ -145,15 +148,15 @@
 
 namespace {
 
-using Message = beast::http::request<beast::http::string_body>;
-using Parser = beast::http::response_parser<beast::http::string_body>;
+using Message = beast::http::request<internal::SharedBody>;
+using Parser = beast::http::response_parser<internal::ArrivingBody>;
 
 /// One request and its response on one connection.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
     Exchange(std::weak_ptr<Client::State> state, Client::ExchangeId id, std::string address, const Request &request,
-             const ExchangeOptions &options, Client::Callback done)
+             const ExchangeOptions &options, Client::Callback done, std::shared_ptr<const std::string> body)
         : m_state(std::move(state))
         , m_id(id)
         , m_address(std::move(address))
@@ -171,7 +174,9 @@
             else
                 m_message.insert(name, value);
         }
-        m_message.body() = request.body;
+        if (!body && !request.body.empty())
+            body = std::make_shared<const std::string>(request.body);
+        m_message.body() = std::move(body);
         m_message.prepare_payload();
     }
 
@@ -219,6 +224,7 @@
 private:
     /// Beyond the header: at least a line of chunked coding.
     static constexpr std::size_t readAheadBytes = 64 * 1024UL;
+    static constexpr const char *noRoom = "no room for the response in the account of bytes";
 
     void write()
     {
@@ -277,12 +283,38 @@
         countBody(*state, m_parser->get().body().size());
         if (state->bodyBytes > state->limits.totalBodyBytes)
             return finish(ExchangeOutcome::TruncatedResponse, "the unfinished responses exceed their limit");
-        if (!m_parser->is_done())
+        if (!m_parser->is_done()) {
+            if (!hasRoom(*state))
+                return finish(ExchangeOutcome::TruncatedResponse, noRoom);
             return readSome();
+        }
+        m_share.reset();
         countBody(*state, 0);
         responseRead();
     }
 
+    /// Asks the account for room for what has arrived of the response. Most responses arrive whole and need none.
+    bool hasRoom(Client::State &state)
+    {
+        const std::uint64_t arrived = m_parser->get().body().size();
+        if (state.account == nullptr || arrived == 0)
+            return true;
+        if (!m_isShareOpen) {
+            m_isShareOpen = true;
+            m_share = state.account->open(core::HeldUse::ArrivingResponse, m_address, [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                const auto owner = self ? self->m_state.lock() : nullptr;
+                // Later: whoever needs the room is in the middle of its work.
+                if (owner)
+                    asio::post(owner->context, [self] { self->finish(ExchangeOutcome::TruncatedResponse, noRoom); });
+            });
+        }
+        m_share.noteProgress(arrived - std::exchange(m_notedBytes, arrived));
+        const auto missing = m_parser->content_length_remaining();
+        return m_share.resize(arrived,
+                              missing ? *missing : state.limits.bodyBytes - std::min(state.limits.bodyBytes, arrived));
+    }
+
     /// Counts this exchange's share of the bytes in unfinished responses.
     void countBody(Client::State &state, std::uint64_t bytes)
     {
@@ -303,7 +335,7 @@
         auto message = m_parser->release();
         const bool keepAlive = m_options.keepsConnection && hasLength && message.keep_alive() && m_buffer.size() == 0;
         ExchangeResult result{
-            ExchangeOutcome::Complete, {static_cast<int>(message.result_int()), {}, std::move(message.body())}, {}};
+            ExchangeOutcome::Complete, {static_cast<int>(message.result_int()), {}, message.body().take()}, {}};
         for (const auto &field : message)
             result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
         const auto state = m_state.lock();
@@ -326,6 +358,7 @@
     {
         if (const auto state = m_state.lock()) {
             countBody(*state, 0);
+            m_share.reset();
             state->active.erase(m_id);
         }
         if (const auto done = std::exchange(m_done, nullptr))
@@ -341,6 +374,9 @@
     bool m_isSending = false;
     bool m_hasReceived = false; ///< Bytes of the current response.
     std::uint64_t m_countedBytes = 0; ///< In State::bodyBytes.
+    ResourceAccount::Share m_share; ///< Of the response, while it arrives.
+    bool m_isShareOpen = false;
+    std::uint64_t m_notedBytes = 0; ///< Of the response, as progress.
     Client::Callback m_done;
     Message m_message;
     Stream m_stream;
@@ -356,8 +392,8 @@
     return endpoint && endpoint->port() != 0;
 }
 
-Client::Client(asio::io_context &context, ClientLimits limits)
-    : m_state(std::make_shared<State>(context, limits))
+Client::Client(asio::io_context &context, ClientLimits limits, ResourceAccount *account)
+    : m_state(std::make_shared<State>(context, limits, account))
 {
 }
 
@@ -372,10 +408,11 @@
 }
 
 Client::ExchangeId Client::send(const std::string &address, const Request &request, const ExchangeOptions &options,
-                                Callback done)
+                                Callback done, std::shared_ptr<const std::string> body)
 {
     const ExchangeId id = m_state->nextId++;
-    auto exchange = std::make_shared<Exchange>(m_state, id, address, request, options, std::move(done));
+    auto exchange
+        = std::make_shared<Exchange>(m_state, id, address, request, options, std::move(done), std::move(body));
     m_state->active.emplace(id, exchange);
     exchange->start();
     return id;
--- a/packages/http/src/requestreading.h
+++ b/packages/http/src/requestreading.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bodies.h"
+
 #include <sardinehinge/http/message.h>
 
 #include <boost/beast/core.hpp>
@@ -9,7 +11,7 @@
 
 namespace sardinehinge::http::internal {
 
-using RequestMessage = boost::beast::http::request<boost::beast::http::string_body>;
+using RequestMessage = boost::beast::http::request<ArrivingBody>;
 
 /// Rejects framing that Beast's parser accepts but that leaves the end of the request ambiguous. Returns the error
 /// text, or an empty string.
@@ -45,7 +47,7 @@
     request.target = std::string(message.target());
     for (const auto &field : message)
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.body = std::move(message.body());
+    request.body = message.body().take();
     request.peer = peer;
     return request;
 }
--- a/packages/http/src/resourceaccount.cpp
+++ b/packages/http/src/resourceaccount.cpp
@@ -34,6 +34,14 @@
     return m_account == nullptr || m_account->resize(m_id, bytes, missing);
 }
 
+void ResourceAccount::Share::hold(std::uint64_t bytes)
+{
+    if (m_account == nullptr)
+        return;
+    if (const auto found = m_account->m_holders.find(m_id); found != m_account->m_holders.end())
+        m_account->set(found->second, bytes);
+}
+
 void ResourceAccount::Share::setUse(core::HeldUse use)
 {
     if (m_account == nullptr)
@@ -119,7 +127,7 @@
                         its.progress.stalledFor(now)});
     const core::RoomDecision decision = core::makeRoom(m_limits, held, id, bytes);
     if (!decision.isGranted) {
-        ++m_refusals.at(static_cast<std::size_t>(holder.use));
+        noteRefusal(holder, bytes);
         return false;
     }
     set(holder, bytes);
@@ -134,12 +142,19 @@
     holder.bytes = bytes;
 }
 
+void ResourceAccount::noteRefusal(const Holder &holder, std::uint64_t bytes)
+{
+    ++m_refusals.at(static_cast<std::size_t>(holder.use));
+    if (m_onRefusal)
+        m_onRefusal(holder.use, holder.peer, bytes, total());
+}
+
 void ResourceAccount::close(std::uint64_t id)
 {
     const auto found = m_holders.find(id);
     if (found == m_holders.end())
         return;
-    ++m_refusals.at(static_cast<std::size_t>(found->second.use));
+    noteRefusal(found->second, found->second.bytes);
     set(found->second, 0);
     const TakenBack takenBack = std::move(found->second.takenBack);
     m_holders.erase(found);
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,6 +1,7 @@
 #include <sardinehinge/http/server.h>
 
 #include "addresses.h"
+#include "bodies.h"
 #include "requestreading.h"
 
 #include <boost/asio/post.hpp>
@@ -28,28 +29,39 @@
 constexpr std::chrono::milliseconds newConnectionGrace(500);
 /// A process that runs late finds the read timeout expired and input waiting: the time in which it reads that.
 constexpr std::chrono::milliseconds lateInputGrace(100);
+/// Bodies up to this size aren't counted: the account leaves memory for them.
+constexpr std::size_t uncountedBytes = 4096;
+/// Without a free descriptor, the next attempt to accept waits this long.
+constexpr std::chrono::milliseconds acceptPause(10);
 
 } // namespace
 
 struct Server::State : std::enable_shared_from_this<Server::State>
 {
-    State(asio::io_context &ioContext, RequestHandler &requestHandler, ServerLimits serverLimits)
+    State(asio::io_context &ioContext, RequestHandler &requestHandler, ServerLimits serverLimits,
+          ResourceAccount *resourceAccount)
         : context(ioContext)
         , acceptor(ioContext)
+        , acceptTimer(ioContext)
         , handler(requestHandler)
         , limits(serverLimits)
+        , account(resourceAccount)
     {
     }
 
     void accept();
     void take(tcp::socket socket);
     void acceptPending();
+    /// Closes a connection for a new one. Returns false if none can be closed.
+    bool displace();
     void forEachConnection(const std::function<void(Connection &)> &action);
 
     asio::io_context &context;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     RequestHandler &handler;
     ServerLimits limits;
+    ResourceAccount *account; ///< May be null.
     std::set<Connection *> open;
     std::uint64_t nextExchange = 1;
     std::atomic<std::size_t> openCount = 0;
@@ -62,7 +74,7 @@
 
 using StatePointer = std::shared_ptr<Server::State>;
 
-using Parser = beast::http::request_parser<beast::http::string_body>;
+using Parser = beast::http::request_parser<internal::ArrivingBody>;
 using Message = beast::http::response<beast::http::string_body>;
 
 /// One connection of a caller: reads a request, waits for the response, writes it, then reads the next request.
@@ -133,6 +145,9 @@
     void close()
     {
         m_phase = Phase::Closed;
+        m_state->open.erase(this);
+        m_state->openCount.store(m_state->open.size());
+        m_share.reset();
         m_timer.cancel();
         ErrorCode ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -161,6 +176,18 @@
                           [self = shared_from_this(), text](ErrorCode, std::size_t) { self->close(); });
     }
 
+    /// How long and how slowly it waits for a request, unless one is in work or its response is being written.
+    std::optional<core::WaitingConnection> waiting()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (m_phase == Phase::Idle && !hasInput())
+            return core::WaitingConnection{0, true, now - m_idleSince, 0};
+        if (m_phase == Phase::Reading)
+            return core::WaitingConnection{0, false, now - m_requestSince,
+                                           m_progress.bytesPerSecond(now.time_since_epoch())};
+        return std::nullopt;
+    }
+
     void abort(std::uint64_t exchange)
     {
         if (exchange == m_exchangeId && m_phase == Phase::Handling)
@@ -171,6 +198,7 @@
     /// Beyond the header: the start of a body or of the next request.
     static constexpr std::size_t readAheadBytes = 8 * 1024UL;
     static constexpr int statusTimeout = 408;
+    static constexpr int statusUnavailable = 503;
     static constexpr int statusInternalError = 500;
 
     enum class Phase { Idle, Reading, Handling, Writing, Closed };
@@ -221,14 +249,34 @@
                 return;
             if (!isGrace || self->input() == Input::Bytes)
                 return self->limitReadTime(lateInputGrace, true);
+            if (self->hasProgressed())
+                return self->limitBodyTime();
             self->m_stream.cancel();
-            self->reject(statusTimeout, "the request was not complete in time");
+            self->reject(statusTimeout,
+                         self->m_isHeadRead ? "the body arrives too slowly" : "the request was not complete in time");
         });
     }
 
+    /// Starts the next period in which the body must progress.
+    void limitBodyTime()
+    {
+        m_periodBegin = m_arrived;
+        limitReadTime(m_state->limits.readTimeout);
+    }
+
+    bool hasProgressed() const
+    {
+        const core::ProgressRule rule{m_state->limits.readTimeout, m_state->limits.bodyBytesPerSecond};
+        return m_isHeadRead && rule.isEnough(m_arrived - m_periodBegin);
+    }
+
     void readRequest()
     {
         m_phase = Phase::Reading;
+        m_isHeadRead = false;
+        m_arrived = 0;
+        m_requestSince = std::chrono::steady_clock::now();
+        m_progress = core::ProgressMeter(m_requestSince.time_since_epoch());
         m_parser.emplace();
         m_parser->header_limit(m_state->limits.headerBytes);
         m_parser->body_limit(m_state->limits.bodyBytes);
@@ -248,12 +296,78 @@
             return readFailed(error);
         if (const std::string fault = internal::framingError(m_parser->get()); !fault.empty())
             return reject(400, fault);
-        // The parser would allocate the declared length at once.
         if (m_parser->content_length().value_or(0) > m_state->limits.bodyBytes)
             return readFailed(beast::http::error::body_limit);
-        beast::http::async_read(
+        m_isHeadRead = true;
+        m_parser->eager(true);
+        if (m_parser->is_done())
+            return requestRead();
+        limitBodyTime();
+        readBody();
+    }
+
+    void readBody()
+    {
+        beast::http::async_read_some(
             m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](ErrorCode bodyError, std::size_t) { self->requestRead(bodyError); });
+            [self = shared_from_this()](ErrorCode error, std::size_t bytes) { self->bodyRead(error, bytes); });
+    }
+
+    void bodyRead(ErrorCode error, std::size_t bytes)
+    {
+        if (m_phase != Phase::Reading) {
+            m_parser.reset(); // Refused meanwhile.
+            return;
+        }
+        if (error)
+            return readFailed(error);
+        m_arrived += bytes;
+        m_progress.note(bytes, std::chrono::steady_clock::now().time_since_epoch());
+        m_share.noteProgress(bytes);
+        if (m_parser->is_done())
+            return requestRead();
+        if (!hasRoom())
+            return refuseForRoom();
+        readBody();
+    }
+
+    /// Asks the account for room for what has arrived of the body.
+    bool hasRoom()
+    {
+        const std::uint64_t arrived = m_parser->get().body().size();
+        if (m_state->account == nullptr || arrived <= uncountedBytes)
+            return true;
+        if (!m_isShareOpen)
+            openShare(core::HeldUse::ArrivingRequest);
+        const auto missing = m_parser->content_length_remaining();
+        const std::uint64_t limit = m_state->limits.bodyBytes;
+        return m_share.resize(arrived, missing ? *missing : limit - std::min(limit, arrived));
+    }
+
+    void openShare(core::HeldUse use)
+    {
+        m_isShareOpen = true;
+        m_share = m_state->account->open(use, m_peer, [weak = weak_from_this(), request = m_requests] {
+            // Later: whoever needs the room is in the middle of its work.
+            if (const auto self = weak.lock())
+                asio::post(self->m_state->context, [self, request] { self->shareTakenBack(request); });
+        });
+    }
+
+    void shareTakenBack(std::uint64_t request)
+    {
+        if (request != m_requests)
+            return;
+        if (m_phase == Phase::Reading)
+            refuseForRoom();
+        else if (m_phase == Phase::Writing)
+            close(CloseReason::NoRoom);
+    }
+
+    void refuseForRoom()
+    {
+        m_stream.cancel();
+        reject(statusUnavailable, "no room for the request");
     }
 
     void readFailed(ErrorCode error)
@@ -265,16 +379,15 @@
         reject(internal::statusFor(error), error.message());
     }
 
-    void requestRead(ErrorCode error)
+    void requestRead()
     {
-        if (m_phase != Phase::Reading)
-            return;
-        if (error)
-            return readFailed(error);
+        if (!hasRoom())
+            return refuseForRoom();
         // The caller may have left while the request waited to be read.
         if (input() == Input::Closed)
             return close(CloseReason::CallerLeft);
         m_timer.cancel();
+        m_share.setUse(core::HeldUse::RequestInWork);
         ++m_requests;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
@@ -318,6 +431,12 @@
     void write(Response response, bool keepAlive)
     {
         m_phase = Phase::Writing;
+        m_share.reset();
+        m_isShareOpen = false;
+        if (m_state->account != nullptr && response.body.size() > uncountedBytes) {
+            openShare(core::HeldUse::WaitingResponse);
+            m_share.hold(response.body.size());
+        }
         auto message = std::make_shared<Message>();
         message->result(static_cast<unsigned>(response.status));
         for (const auto &[name, value] : response.headers)
@@ -326,14 +445,42 @@
         message->keep_alive(keepAlive);
         message->prepare_payload();
         m_stream.expires_after(m_state->limits.writeTimeout);
-        beast::http::async_write(m_stream, *message,
-                                 [self = shared_from_this(), message, keepAlive](ErrorCode error, std::size_t) {
-                                     if (error)
-                                         return self->close(CloseReason::WriteFailed);
-                                     if (!keepAlive)
-                                         return self->close();
-                                     self->awaitRequest();
-                                 });
+        writeSome(std::make_shared<OutgoingResponse>(std::move(message)), keepAlive);
+    }
+
+    /// A response with what is left of it.
+    struct OutgoingResponse
+    {
+        explicit OutgoingResponse(std::shared_ptr<Message> whole)
+            : message(std::move(whole))
+            , serializer(*message)
+        {
+        }
+
+        std::shared_ptr<Message> message;
+        beast::http::response_serializer<beast::http::string_body> serializer;
+    };
+
+    /// In steps, so that the account knows whether the caller reads.
+    void writeSome(std::shared_ptr<OutgoingResponse> response, bool keepAlive)
+    {
+        auto &serializer = response->serializer;
+        beast::http::async_write_some(
+            m_stream, serializer,
+            [self = shared_from_this(), response = std::move(response), keepAlive](ErrorCode error, std::size_t bytes) {
+                if (self->m_phase != Phase::Writing)
+                    return;
+                if (error)
+                    return self->close(CloseReason::WriteFailed);
+                self->m_share.noteProgress(bytes);
+                if (!response->serializer.is_done())
+                    return self->writeSome(response, keepAlive);
+                self->m_share.reset();
+                self->m_isShareOpen = false;
+                if (!keepAlive)
+                    return self->close();
+                self->awaitRequest();
+            });
     }
 
     /// Holds a weak reference, so that a connection is freed when its caller disconnects.
@@ -378,6 +525,13 @@
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
+    ResourceAccount::Share m_share; ///< Of the request, then of its response.
+    bool m_isShareOpen = false;
+    bool m_isHeadRead = false; ///< Of the current request, as the following.
+    std::uint64_t m_arrived = 0; ///< Bytes of the body, with its framing.
+    std::uint64_t m_periodBegin = 0; ///< Of these, at the begin of the period in which it must progress.
+    core::ProgressMeter m_progress;
+    std::chrono::steady_clock::time_point m_requestSince;
     std::uint64_t m_requests = 0; ///< Read on this connection.
     std::chrono::steady_clock::time_point m_idleSince; ///< Start of the wait for the next request.
 };
@@ -391,16 +545,43 @@
             return;
         if (!error)
             self->take(std::move(socket)); // A drain may have begun since the connection was accepted.
-        if (!self->isDraining && error != asio::error::operation_aborted)
-            self->accept();
+        if (self->isDraining || error == asio::error::operation_aborted)
+            return;
+        if (!error)
+            return self->accept();
+        // Most likely no descriptor is free.
+        self->displace();
+        self->acceptTimer.expires_after(acceptPause);
+        self->acceptTimer.async_wait([self](ErrorCode waitError) {
+            if (!waitError && !self->isStopped && !self->isDraining)
+                self->accept();
+        });
     });
 }
 
-/// Waits for the requests of a new connection, or closes it if there are too many.
+bool Server::State::displace()
+{
+    std::vector<core::WaitingConnection> waiting;
+    std::vector<Connection *> connections;
+    for (Connection *connection : open) {
+        if (auto each = connection->waiting()) {
+            connections.push_back(connection);
+            each->id = connections.size();
+            waiting.push_back(*each);
+        }
+    }
+    const std::uint64_t chosen = core::connectionToClose(waiting);
+    if (chosen != 0)
+        connections.at(chosen - 1)->shared_from_this()->close(CloseReason::Displaced);
+    return chosen != 0;
+}
+
+/// Waits for the requests of a new connection. If there are too many, closes another one for it, or else the new one.
 void Server::State::take(tcp::socket socket)
 {
+    const bool hasPlace = open.size() < limits.connections || displace();
     const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
-    if (open.size() <= limits.connections)
+    if (hasPlace)
         connection->awaitRequest();
     else
         connection->close(CloseReason::ConnectionLimit);
@@ -428,8 +609,8 @@
         action(*connection);
 }
 
-Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits)
-    : m_state(std::make_shared<State>(context, handler, limits))
+Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits, ResourceAccount *account)
+    : m_state(std::make_shared<State>(context, handler, limits, account))
 {
 }
 
