--- a/packages/core/include/sardinehinge/core/admission/memoryaccount.h
+++ b/packages/core/include/sardinehinge/core/admission/memoryaccount.h
@@ -1,25 +1,14 @@
 #pragma once
 
+#include <sardinehinge/core/admission/helduse.h>
 #include <sardinehinge/core/types.h>
 
-#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace sardinehinge::core {
 
-/// What the process holds bytes for on behalf of a caller or a target.
-enum class HeldUse {
-    ArrivingRequest, ///< Not complete: it can be refused as not run.
-    RequestInWork, ///< Complete: never cut.
-    ArrivingResponse, ///< Of a target.
-    WaitingResponse, ///< For its caller to read it.
-};
-constexpr std::size_t heldUses = 4;
-constexpr std::array<const char *, heldUses> heldUseNames
-    = {"arriving_request", "request_in_work", "arriving_response", "waiting_response"};
-
 /// What one holder has of the account.
 struct HeldBytes
 {
@@ -72,52 +61,4 @@
 RoomDecision makeRoom(const AccountLimits &limits, const std::vector<HeldBytes> &held, std::uint64_t asker,
                       std::uint64_t bytes);
 
-/// An open connection of a caller whose request isn't in work.
-struct WaitingConnection
-{
-    std::uint64_t id = 0;
-    bool isIdle = false; ///< No byte of a request has arrived.
-    Duration waitingFor{}; ///< Since it became idle, or since its request began.
-    double bytesPerSecond = 0; ///< Of the request.
-
-    bool operator==(const WaitingConnection &) const = default;
-};
-
-/// Returns the connection to close for a new one, or `none`: the longest idle one, otherwise the one whose request
-/// arrives slowest, and of equally slow ones the oldest.
-std::uint64_t connectionToClose(const std::vector<WaitingConnection> &waiting, std::uint64_t none = 0);
-
-/// How fast the bytes of a request arrive. A caller must send at a least rate after a grace period; there is no limit
-/// on the whole time.
-struct ProgressRule
-{
-    Duration grace = std::chrono::seconds(10); ///< Also the period over which the rate is taken.
-    double leastBytesPerSecond = 512;
-
-    bool operator==(const ProgressRule &) const = default;
-    /// Whether `bytes` in one grace period are enough.
-    bool isEnough(std::uint64_t bytes) const noexcept;
-};
-
-/// Measures how fast bytes come or go.
-class ProgressMeter
-{
-public:
-    explicit ProgressMeter(Time now = {})
-        : m_windowStart(now)
-        , m_lastProgress(now)
-    {
-    }
-
-    void note(std::uint64_t bytes, Time now);
-    double bytesPerSecond(Time now) const;
-    Duration stalledFor(Time now) const { return now - m_lastProgress; }
-
-private:
-    Time m_windowStart;
-    Time m_lastProgress;
-    std::uint64_t m_windowBytes = 0;
-    double m_lastRate = 0; ///< Of the window before.
-};
-
 } // namespace sardinehinge::core
--- a/packages/core/src/admission/memoryaccount.cpp
+++ b/packages/core/src/admission/memoryaccount.cpp
@@ -14,12 +14,6 @@
 constexpr std::uint64_t largestKeptForSmall = mebibyte;
 constexpr std::uint64_t peerSteps = 8; ///< Parts of the account in which addresses are compared.
 constexpr Duration stallTime = std::chrono::seconds(1);
-constexpr Duration rateWindow = std::chrono::seconds(1);
-
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
 
 double timeToComplete(const HeldBytes &held)
 {
@@ -99,38 +93,4 @@
     return {};
 }
 
-std::uint64_t connectionToClose(const std::vector<WaitingConnection> &waiting, std::uint64_t none)
-{
-    const auto rank = [](const WaitingConnection &each) {
-        return std::tuple(each.isIdle, each.isIdle ? 0.0 : -each.bytesPerSecond, each.waitingFor);
-    };
-    const auto found = std::max_element(
-        waiting.begin(), waiting.end(),
-        [&](const WaitingConnection &one, const WaitingConnection &other) { return rank(one) < rank(other); });
-    return found == waiting.end() ? none : found->id;
-}
-
-bool ProgressRule::isEnough(std::uint64_t bytes) const noexcept
-{
-    return static_cast<double>(bytes) >= leastBytesPerSecond * seconds(grace);
-}
-
-void ProgressMeter::note(std::uint64_t bytes, Time now)
-{
-    if (now - m_windowStart >= rateWindow) {
-        m_lastRate = static_cast<double>(m_windowBytes) / seconds(now - m_windowStart);
-        m_windowStart = now;
-        m_windowBytes = 0;
-    }
-    m_windowBytes += bytes;
-    m_lastProgress = now;
-}
-
-double ProgressMeter::bytesPerSecond(Time now) const
-{
-    const Duration elapsed = std::max<Duration>(now - m_windowStart, rateWindow);
-    const double current = static_cast<double>(m_windowBytes) / seconds(elapsed);
-    return now - m_windowStart >= rateWindow ? current : std::max(current, m_lastRate);
-}
-
 } // namespace sardinehinge::core
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -9,6 +9,7 @@
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/edges/gatewayedges.h>
 #include <sardinehinge/http/client.h>
+#include <sardinehinge/http/resourceaccount.h>
 #include <sardinehinge/http/server.h>
 
 #include <boost/asio/steady_timer.hpp>
--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <sardinehinge/core/types.h>
+#include <sardinehinge/http/byteaccount.h>
 #include <sardinehinge/http/message.h>
-#include <sardinehinge/http/resourceaccount.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -97,7 +97,7 @@
 
     /// `account`, unless null, counts the responses that arrive; one that finds no room there ends as
     /// TruncatedResponse. It must outlive the context's handlers.
-    explicit Client(boost::asio::io_context &context, ClientLimits limits = {}, ResourceAccount *account = nullptr);
+    explicit Client(boost::asio::io_context &context, ClientLimits limits = {}, ByteAccount *account = nullptr);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
--- a/packages/http/include/sardinehinge/http/server.h
+++ b/packages/http/include/sardinehinge/http/server.h
@@ -2,8 +2,8 @@
 
 #include <sardinehinge/core/result.h>
 #include <sardinehinge/core/types.h>
+#include <sardinehinge/http/byteaccount.h>
 #include <sardinehinge/http/message.h>
-#include <sardinehinge/http/resourceaccount.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,7 +22,7 @@
     std::size_t connections = 4000;
     /// For the head of a request, from its first byte. Also the period in which a body must progress.
     core::Duration readTimeout = core::Duration(std::chrono::seconds(10));
-    double bodyBytesPerSecond = 512; ///< Least rate of a body in each such period; its whole time has no limit.
+    double bodyBytesPerSecond = 128; ///< Least rate of a body in each such period; its whole time has no limit.
     core::Duration idleTimeout = core::Duration(std::chrono::seconds(60)); ///< Between two requests of a connection.
     core::Duration writeTimeout = core::Duration(std::chrono::seconds(10)); ///< For a whole response.
 
@@ -94,7 +94,7 @@
     /// `account`, unless null, counts requests, until they are answered, and responses, until they are written. It must
     /// outlive the context's handlers.
     Server(boost::asio::io_context &context, RequestHandler &handler, ServerLimits limits = {},
-           ResourceAccount *account = nullptr);
+           ByteAccount *account = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -90,7 +90,7 @@
 
 struct Client::State
 {
-    State(asio::io_context &ioContext, ClientLimits clientLimits, ResourceAccount *resourceAccount)
+    State(asio::io_context &ioContext, ClientLimits clientLimits, ByteAccount *resourceAccount)
         : context(ioContext)
         , limits(clientLimits)
         , account(resourceAccount)
@@ -138,7 +138,7 @@
 
     asio::io_context &context;
     ClientLimits limits;
-    ResourceAccount *account; ///< Counts the responses that arrive; may be null.
+    ByteAccount *account; ///< Counts the responses that arrive; may be null.
     ExchangeId nextId = 1;
     std::map<std::string, std::deque<IdleStream>> idle;
     SteadyTime nextExpiryCheck;
@@ -299,8 +299,7 @@
         const std::uint64_t arrived = m_parser->get().body().size();
         if (state.account == nullptr || arrived == 0)
             return true;
-        if (!m_isShareOpen) {
-            m_isShareOpen = true;
+        if (!m_share) {
             m_share = state.account->open(core::HeldUse::ArrivingResponse, m_address, [weak = weak_from_this()] {
                 const auto self = weak.lock();
                 const auto owner = self ? self->m_state.lock() : nullptr;
@@ -309,10 +308,10 @@
                     asio::post(owner->context, [self] { self->finish(ExchangeOutcome::TruncatedResponse, noRoom); });
             });
         }
-        m_share.noteProgress(arrived - std::exchange(m_notedBytes, arrived));
+        m_share->noteProgress(arrived - std::exchange(m_notedBytes, arrived));
         const auto missing = m_parser->content_length_remaining();
-        return m_share.resize(arrived,
-                              missing ? *missing : state.limits.bodyBytes - std::min(state.limits.bodyBytes, arrived));
+        return m_share->resize(arrived,
+                               missing ? *missing : state.limits.bodyBytes - std::min(state.limits.bodyBytes, arrived));
     }
 
     /// Counts this exchange's share of the bytes in unfinished responses.
@@ -374,8 +373,7 @@
     bool m_isSending = false;
     bool m_hasReceived = false; ///< Bytes of the current response.
     std::uint64_t m_countedBytes = 0; ///< In State::bodyBytes.
-    ResourceAccount::Share m_share; ///< Of the response, while it arrives.
-    bool m_isShareOpen = false;
+    std::unique_ptr<ByteShare> m_share; ///< Of the response, while it arrives.
     std::uint64_t m_notedBytes = 0; ///< Of the response, as progress.
     Client::Callback m_done;
     Message m_message;
@@ -392,7 +390,7 @@
     return endpoint && endpoint->port() != 0;
 }
 
-Client::Client(asio::io_context &context, ClientLimits limits, ResourceAccount *account)
+Client::Client(asio::io_context &context, ClientLimits limits, ByteAccount *account)
     : m_state(std::make_shared<State>(context, limits, account))
 {
 }
--- a/packages/http/src/resourceaccount.cpp
+++ b/packages/http/src/resourceaccount.cpp
@@ -13,90 +13,67 @@
 
 } // namespace
 
-ResourceAccount::Share::Share(Share &&other) noexcept
-    : m_account(std::exchange(other.m_account, nullptr))
-    , m_id(std::exchange(other.m_id, 0))
+class ResourceAccount::Share : public ByteShare
 {
-}
-
-ResourceAccount::Share &ResourceAccount::Share::operator=(Share &&other) noexcept
-{
-    if (this != &other) {
-        reset();
-        m_account = std::exchange(other.m_account, nullptr);
-        m_id = std::exchange(other.m_id, 0);
+public:
+    Share(ResourceAccount &account, std::uint64_t id)
+        : m_account(account)
+        , m_id(id)
+    {
+    }
+    Share(const Share &) = delete;
+    Share &operator=(const Share &) = delete;
+
+    ~Share() override
+    {
+        if (Holder *holder = m_account.find(m_id)) {
+            m_account.set(*holder, 0);
+            m_account.m_holders.erase(m_id);
+        }
     }
-    return *this;
-}
-
-bool ResourceAccount::Share::resize(std::uint64_t bytes, std::uint64_t missing)
-{
-    return m_account == nullptr || m_account->resize(m_id, bytes, missing);
-}
-
-void ResourceAccount::Share::hold(std::uint64_t bytes)
-{
-    if (m_account == nullptr)
-        return;
-    if (const auto found = m_account->m_holders.find(m_id); found != m_account->m_holders.end())
-        m_account->set(found->second, bytes);
-}
-
-void ResourceAccount::Share::setUse(core::HeldUse use)
-{
-    if (m_account == nullptr)
-        return;
-    const auto found = m_account->m_holders.find(m_id);
-    if (found == m_account->m_holders.end())
-        return;
-    Holder &holder = found->second;
-    m_account->countOf(holder.use) -= holder.bytes;
-    holder.use = use;
-    m_account->countOf(holder.use) += holder.bytes;
-}
 
-void ResourceAccount::Share::noteProgress(std::uint64_t bytes)
-{
-    if (m_account == nullptr)
-        return;
-    if (const auto found = m_account->m_holders.find(m_id); found != m_account->m_holders.end())
-        found->second.progress.note(bytes, steadyTime());
-}
+    bool resize(std::uint64_t bytes, std::uint64_t missing) override { return m_account.resize(m_id, bytes, missing); }
 
-double ResourceAccount::Share::bytesPerSecond() const
-{
-    if (m_account == nullptr)
-        return 0;
-    const auto found = m_account->m_holders.find(m_id);
-    return found == m_account->m_holders.end() ? 0 : found->second.progress.bytesPerSecond(steadyTime());
-}
+    void hold(std::uint64_t bytes) override
+    {
+        if (Holder *holder = m_account.find(m_id))
+            m_account.set(*holder, bytes);
+    }
 
-std::uint64_t ResourceAccount::Share::bytes() const noexcept
-{
-    if (m_account == nullptr)
-        return 0;
-    const auto found = m_account->m_holders.find(m_id);
-    return found == m_account->m_holders.end() ? 0 : found->second.bytes;
-}
+    void setUse(core::HeldUse use) override
+    {
+        if (Holder *holder = m_account.find(m_id)) {
+            const std::uint64_t bytes = holder->bytes;
+            m_account.set(*holder, 0);
+            holder->use = use;
+            m_account.set(*holder, bytes);
+        }
+    }
 
-void ResourceAccount::Share::reset()
-{
-    ResourceAccount *account = std::exchange(m_account, nullptr);
-    if (account == nullptr)
-        return;
-    if (const auto found = account->m_holders.find(m_id); found != account->m_holders.end()) {
-        account->set(found->second, 0);
-        account->m_holders.erase(found);
+    void noteProgress(std::uint64_t bytes) override
+    {
+        if (Holder *holder = m_account.find(m_id))
+            holder->progress.note(bytes, steadyTime());
     }
-}
 
-ResourceAccount::Share ResourceAccount::open(core::HeldUse use, const std::string &peer, TakenBack takenBack)
+private:
+    ResourceAccount &m_account;
+    std::uint64_t m_id;
+};
+
+std::unique_ptr<ByteShare> ResourceAccount::open(core::HeldUse use, const std::string &peer, TakenBack takenBack)
 {
     const std::uint64_t id = m_nextId++;
     m_holders.emplace(
         id,
         Holder{use, 0, 0, peer.substr(0, peer.rfind(':')), core::ProgressMeter(steadyTime()), std::move(takenBack)});
-    return {this, id};
+    return std::make_unique<Share>(*this, id);
+}
+
+ResourceAccount::Holder *ResourceAccount::find(std::uint64_t id)
+{
+    const auto found = m_holders.find(id);
+    return found == m_holders.end() ? nullptr : &found->second;
 }
 
 std::uint64_t ResourceAccount::total() const noexcept
@@ -109,10 +86,10 @@
 
 bool ResourceAccount::resize(std::uint64_t id, std::uint64_t bytes, std::uint64_t missing)
 {
-    const auto found = m_holders.find(id);
-    if (found == m_holders.end())
+    Holder *found = find(id);
+    if (found == nullptr)
         return false;
-    Holder &holder = found->second;
+    Holder &holder = *found;
     holder.missing = missing;
     // Most requests find room, without a look at the other holders.
     const std::uint64_t available = m_limits.bytes - std::min(m_limits.bytes, m_limits.keptForSmall);
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -4,6 +4,9 @@
 #include "bodies.h"
 #include "requestreading.h"
 
+#include <sardinehinge/core/admission/progress.h>
+#include <sardinehinge/core/admission/waitingconnection.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -39,7 +42,7 @@
 struct Server::State : std::enable_shared_from_this<Server::State>
 {
     State(asio::io_context &ioContext, RequestHandler &requestHandler, ServerLimits serverLimits,
-          ResourceAccount *resourceAccount)
+          ByteAccount *resourceAccount)
         : context(ioContext)
         , acceptor(ioContext)
         , acceptTimer(ioContext)
@@ -61,7 +64,7 @@
     asio::steady_timer acceptTimer;
     RequestHandler &handler;
     ServerLimits limits;
-    ResourceAccount *account; ///< May be null.
+    ByteAccount *account; ///< May be null.
     std::set<Connection *> open;
     std::uint64_t nextExchange = 1;
     std::atomic<std::size_t> openCount = 0;
@@ -323,7 +326,8 @@
             return readFailed(error);
         m_arrived += bytes;
         m_progress.note(bytes, std::chrono::steady_clock::now().time_since_epoch());
-        m_share.noteProgress(bytes);
+        if (m_share)
+            m_share->noteProgress(bytes);
         if (m_parser->is_done())
             return requestRead();
         if (!hasRoom())
@@ -337,16 +341,15 @@
         const std::uint64_t arrived = m_parser->get().body().size();
         if (m_state->account == nullptr || arrived <= uncountedBytes)
             return true;
-        if (!m_isShareOpen)
+        if (!m_share)
             openShare(core::HeldUse::ArrivingRequest);
         const auto missing = m_parser->content_length_remaining();
         const std::uint64_t limit = m_state->limits.bodyBytes;
-        return m_share.resize(arrived, missing ? *missing : limit - std::min(limit, arrived));
+        return m_share->resize(arrived, missing ? *missing : limit - std::min(limit, arrived));
     }
 
     void openShare(core::HeldUse use)
     {
-        m_isShareOpen = true;
         m_share = m_state->account->open(use, m_peer, [weak = weak_from_this(), request = m_requests] {
             // Later: whoever needs the room is in the middle of its work.
             if (const auto self = weak.lock())
@@ -387,7 +390,8 @@
         if (input() == Input::Closed)
             return close(CloseReason::CallerLeft);
         m_timer.cancel();
-        m_share.setUse(core::HeldUse::RequestInWork);
+        if (m_share)
+            m_share->setUse(core::HeldUse::RequestInWork);
         ++m_requests;
         m_phase = Phase::Handling;
         m_exchangeId = m_state->nextExchange++;
@@ -432,10 +436,9 @@
     {
         m_phase = Phase::Writing;
         m_share.reset();
-        m_isShareOpen = false;
         if (m_state->account != nullptr && response.body.size() > uncountedBytes) {
             openShare(core::HeldUse::WaitingResponse);
-            m_share.hold(response.body.size());
+            m_share->hold(response.body.size());
         }
         auto message = std::make_shared<Message>();
         message->result(static_cast<unsigned>(response.status));
@@ -472,11 +475,11 @@
                     return;
                 if (error)
                     return self->close(CloseReason::WriteFailed);
-                self->m_share.noteProgress(bytes);
+                if (self->m_share)
+                    self->m_share->noteProgress(bytes);
                 if (!response->serializer.is_done())
                     return self->writeSome(response, keepAlive);
                 self->m_share.reset();
-                self->m_isShareOpen = false;
                 if (!keepAlive)
                     return self->close();
                 self->awaitRequest();
@@ -525,8 +528,7 @@
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
-    ResourceAccount::Share m_share; ///< Of the request, then of its response.
-    bool m_isShareOpen = false;
+    std::unique_ptr<ByteShare> m_share; ///< Of the request, then of its response.
     bool m_isHeadRead = false; ///< Of the current request, as the following.
     std::uint64_t m_arrived = 0; ///< Bytes of the body, with its framing.
     std::uint64_t m_periodBegin = 0; ///< Of these, at the begin of the period in which it must progress.
@@ -565,15 +567,15 @@
     std::vector<Connection *> connections;
     for (Connection *connection : open) {
         if (auto each = connection->waiting()) {
-            connections.push_back(connection);
             each->id = connections.size();
+            connections.push_back(connection);
             waiting.push_back(*each);
         }
     }
-    const std::uint64_t chosen = core::connectionToClose(waiting);
-    if (chosen != 0)
-        connections.at(chosen - 1)->shared_from_this()->close(CloseReason::Displaced);
-    return chosen != 0;
+    const auto chosen = core::connectionToClose(waiting);
+    if (chosen)
+        connections.at(*chosen)->shared_from_this()->close(CloseReason::Displaced);
+    return chosen.has_value();
 }
 
 /// Waits for the requests of a new connection. If there are too many, closes another one for it, or else the new one.
@@ -609,7 +611,7 @@
         action(*connection);
 }
 
-Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits, ResourceAccount *account)
+Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits, ByteAccount *account)
     : m_state(std::make_shared<State>(context, handler, limits, account))
 {
 }
