Count a body as long as it is held, and bound the control side's responses

A caller that left gave its share back while its body was still being sent. The share now belongs to the body; a send drops it once it is written. Responses of the store and of targets to orders, on a client of their own, are bounded by an eighth of the memory instead of 48 MB.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -83,7 +83,7 @@
     state.control = std::make_unique<GatewayControl>(
         state.settings,
         [&state](boost::asio::io_context &context) {
-            return platform::makePlatform(context, state.settings.storeAddress);
+            return platform::makePlatform(context, state.settings.storeAddress, state.settings.memoryBytes);
         },
         state.events, state.metrics,
         [&state](ToTraffic update) { return state.traffic->updates().push(std::move(update)); });
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -30,6 +30,19 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 
+/// Ends with the last send that uses it, which may be later than its caller's request.
+struct CountedBody
+{
+    CountedBody(std::string bodyText, std::shared_ptr<http::ByteShare> byteShare)
+        : text(std::move(bodyText))
+        , share(std::move(byteShare))
+    {
+    }
+
+    std::string text;
+    std::shared_ptr<http::ByteShare> share;
+};
+
 const char *nameOf(core::GatewayError error)
 {
     switch (error) {
@@ -326,8 +339,10 @@
     edges::CallerHead head = m_dialect->readHead(request);
     head.request.id = id;
     Exchange &exchange = m_exchanges[id];
-    if (!request.body.empty())
-        exchange.body = std::make_shared<const std::string>(std::exchange(request.body, {}));
+    if (!request.body.empty()) {
+        const auto body = std::make_shared<CountedBody>(std::exchange(request.body, {}), std::move(request.share));
+        exchange.body = std::shared_ptr<const std::string>(body, &body->text);
+    }
     exchange.message = std::move(request);
     exchange.requestId = std::move(head.requestId);
     exchange.responder = std::move(responder);
--- a/packages/http/include/sardinehinge/http/message.h
+++ b/packages/http/include/sardinehinge/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +14,8 @@
 /// Returns the value of the first header with this name (case-insensitive), or nullopt if there is none.
 std::optional<std::string> headerValue(const Headers &headers, std::string_view name);
 
+class ByteShare;
+
 /// A request with its complete body.
 struct Request
 {
@@ -21,6 +24,8 @@
     Headers headers;
     std::string body;
     std::string peer; ///< IP address and port of the sender; set by the server, ignored by the client.
+    /// Counts the body of a request in work; set by a server with an account. To be kept as long as the body.
+    std::shared_ptr<ByteShare> share = nullptr;
 
     bool operator==(const Request &) const = default;
 };
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -241,6 +241,7 @@
             if (error)
                 return self->finish(bytes == 0 ? ExchangeOutcome::NotSent : ExchangeOutcome::NoResponse,
                                     error.message());
+            self->m_message.body().reset(); // Sent once only; nobody else may need it any more.
             self->read();
         });
     }
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -400,8 +400,9 @@
         auto responder = std::make_shared<ConnectionResponder>(weak_from_this(), m_exchangeId);
         watchForDisconnect(m_exchangeId);
         try {
-            m_state->handler.handle(m_exchangeId, internal::toRequest(m_parser->release(), m_peer),
-                                    std::move(responder));
+            Request request = internal::toRequest(m_parser->release(), m_peer);
+            request.share = std::move(m_share);
+            m_state->handler.handle(m_exchangeId, std::move(request), std::move(responder));
         } catch (...) {
             // Nothing else would answer the request or forget it.
             if (m_phase == Phase::Handling)
@@ -528,7 +529,7 @@
     Phase m_phase = Phase::Idle;
     std::uint64_t m_exchangeId = 0;
     bool m_keepAlive = true;
-    std::unique_ptr<ByteShare> m_share; ///< Of the request, then of its response.
+    std::unique_ptr<ByteShare> m_share; ///< Of a request that arrives, or of a response that is written.
     bool m_isHeadRead = false; ///< Of the current request, as the following.
     std::uint64_t m_arrived = 0; ///< Bytes of the body, with its framing.
     std::uint64_t m_periodBegin = 0; ///< Of these, at the begin of the period in which it must progress.
--- a/packages/http/tests/callerlimits_test.cpp
+++ b/packages/http/tests/callerlimits_test.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
 #include <thread>
 
 /// What callers and targets can take of a process.
@@ -26,19 +27,21 @@
 public:
     void handle(std::uint64_t, http::Request request, std::shared_ptr<http::Responder> responder) override
     {
-        ++handled;
         if (request.target == "/never")
-            return kept.push_back(std::move(responder));
-        responder->send({200, {}, "length " + std::to_string(request.body.size())});
+            kept.emplace_back(std::move(request), std::move(responder));
+        else
+            responder->send({200, {}, "length " + std::to_string(request.body.size())});
+        ++handled;
     }
-    void callerDisconnected(std::uint64_t) override { }
+    void callerDisconnected(std::uint64_t) override { ++disconnected; }
     http::Response rejection(int status, const std::string &detail, const std::string &) override
     {
         return {status, {}, detail};
     }
 
     std::atomic<int> handled = 0;
-    std::vector<std::shared_ptr<http::Responder>> kept;
+    std::atomic<int> disconnected = 0;
+    std::vector<std::pair<http::Request, std::shared_ptr<http::Responder>>> kept;
 };
 
 /// A server with its own thread and an account.
@@ -61,6 +64,16 @@
         m_thread.join();
     }
     std::uint16_t port() const { return m_server.port(); }
+    /// Runs `task` in the server's thread and waits for its end.
+    void run(const std::function<void()> &task)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_context, [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
 
     http::ResourceAccount account;
 
@@ -193,6 +206,22 @@
     CHECK(third.receive().find("length 30720") != std::string::npos);
 }
 
+TEST_CASE("A body is counted as long as its request is kept, also after its caller has left")
+{
+    CountingServer running(http::ServerLimits(), core::accountLimitsOf(512 * kib));
+    {
+        BlockingCaller caller(running.port());
+        caller.send(postHead("/never", 100 * kib) + std::string(100 * kib, 'x'));
+        while (running.handler.handled == 0)
+            std::this_thread::sleep_for(1ms);
+    }
+    while (running.handler.disconnected == 0)
+        std::this_thread::sleep_for(1ms);
+    CHECK(running.account.bytes(core::HeldUse::RequestInWork) == 100 * kib);
+    running.run([&] { running.handler.kept.clear(); });
+    CHECK(running.account.bytes(core::HeldUse::RequestInWork) == 0);
+}
+
 TEST_CASE("A response without room in the account is truncated, and gives back what it had")
 {
     const auto [bytes, outcome] = GENERATE(table<std::size_t, http::ExchangeOutcome>({
