--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -179,11 +179,14 @@
                           [self = shared_from_this(), text](ErrorCode, std::size_t) { self->close(); });
     }
 
+    /// Whether a request has arrived of which nothing has been read.
+    bool hasUnreadRequest() { return m_phase == Phase::Idle && hasInput(); }
+
     /// How long and how slowly it waits for a request, unless one is in work or its response is being written.
     std::optional<core::WaitingConnection> waiting()
     {
         const auto now = std::chrono::steady_clock::now();
-        if (m_phase == Phase::Idle && !hasInput())
+        if (m_phase == Phase::Idle && m_buffer.size() == 0)
             return core::WaitingConnection{0, true, now - m_idleSince, 0};
         if (m_phase == Phase::Reading)
             return core::WaitingConnection{0, false, now - m_requestSince,
@@ -573,10 +576,15 @@
             waiting.push_back(*each);
         }
     }
-    const auto chosen = core::connectionToClose(waiting);
-    if (chosen)
-        connections.at(*chosen)->shared_from_this()->close(CloseReason::Displaced);
-    return chosen.has_value();
+    while (const auto chosen = core::connectionToClose(waiting)) {
+        // Only the chosen one's socket is asked: a call for each connection would be dear.
+        if (!connections.at(*chosen)->hasUnreadRequest()) {
+            connections.at(*chosen)->shared_from_this()->close(CloseReason::Displaced);
+            return true;
+        }
+        std::erase_if(waiting, [&](const core::WaitingConnection &each) { return each.id == *chosen; });
+    }
+    return false;
 }
 
 /// Waits for the requests of a new connection. If there are too many, closes another one for it, or else the new one.
