--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -2,12 +2,14 @@
 
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/admission/linebudget.h>
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
 #include <sardinehinge/daemon/ring.h>
 #include <sardinehinge/daemon/worker.h>
 #include <sardinehinge/edges/gatewayedges.h>
 #include <sardinehinge/http/client.h>
+#include <sardinehinge/http/resourceaccount.h>
 #include <sardinehinge/http/server.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -43,6 +45,9 @@
     std::size_t connections() const noexcept { return m_callers.connections(); }
 
 private:
+    /// Of each kind of line on callers that are refused or closed at a limit.
+    static constexpr std::uint32_t limitLinesPerSecond = 5;
+
     /// Answers whether the balancer may send callers here.
     class ReadyHandler : public http::RequestHandler
     {
@@ -62,7 +67,8 @@
     /// A caller's request while it is under way.
     struct Exchange
     {
-        http::Request message;
+        http::Request message; ///< Without its body.
+        std::shared_ptr<const std::string> body; ///< Shared with the sends; null if empty.
         std::string requestId;
         std::shared_ptr<http::Responder> responder;
         core::RequestFingerprint fingerprint;
@@ -98,7 +104,7 @@
     void act(const core::QuarantineRefuted &effect);
     void act(const core::SpillReport &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
-                      const core::TargetIdentity &target, const http::ExchangeResult &end);
+                      const core::TargetIdentity &target, http::ExchangeResult end);
     void surveyTargets(core::Time now);
     void showSpill();
     void armTimer();
@@ -113,6 +119,7 @@
     EventLog &m_events;
     Metrics &m_metrics;
     std::function<bool(FromTraffic)> m_tellControl;
+    http::ResourceAccount m_account; ///< Outlives the worker, whose tasks hold shares of it.
     Worker m_worker{"traffic"};
     boost::asio::steady_timer m_timer;
     bool m_isTimerArmed = false;
@@ -121,6 +128,8 @@
     http::Server m_readiness;
     http::Client m_client;
     core::GatewayRouter m_router;
+    core::LineBudget m_refusalLines{limitLinesPerSecond};
+    core::LineBudget m_displacedLines{limitLinesPerSecond};
     Ring<ToTraffic> m_updates;
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::set<std::string> m_shardedServices;
--- a/packages/edges/include/sardinehinge/edges/gatewayedges.h
+++ b/packages/edges/include/sardinehinge/edges/gatewayedges.h
@@ -177,6 +177,7 @@
     core::Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end of the process.
     core::Duration longestLease = std::chrono::seconds(10); ///< That targets accept.
     std::uint64_t memoryBytes = 256ULL << 20;
+    std::uint64_t heldBytes = 0; ///< For what callers and targets make the process hold; 0: follows from the memory.
     std::uint32_t linkMbps = 0; ///< Bandwidth of this instance's link; 0: not said.
     std::size_t descriptors = 4096;
     bool adaptsSpill = false; ///< Whether the load decides what leaves the failure domain, or a fixed cost factor.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -92,7 +92,11 @@
     : m_state(std::move(state))
     , m_socket(std::move(socket))
     , m_timer(m_state->context)
-    , m_writer(m_socket)
+    , m_writer(m_socket, [this](std::size_t bytes) {
+        if (m_responseShare)
+            m_responseShare->noteProgress(bytes);
+        countResponses();
+    })
 {
     ErrorCode ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -140,6 +144,26 @@
     startRequests();
     writeNext();
     proceedReading();
+    countResponses();
+}
+
+/// Counts the responses that wait for their turn or for the caller. They are ready, so they aren't refused; if the
+/// account is short, the connection of a caller that reads slowly is closed.
+void Connection::countResponses()
+{
+    const std::uint64_t bytes = m_line.heldBytes() + m_writer.heldBytes();
+    if (m_phase != Phase::Open || m_state->account == nullptr || bytes <= uncountedBytes)
+        return m_responseShare.reset();
+    if (!m_responseShare)
+        m_responseShare = m_state->account->open(core::HeldUse::WaitingResponse, m_peer, [weak = weak_from_this()] {
+            // Later: whoever needs the room is in the middle of its work.
+            if (const auto self = weak.lock())
+                asio::post(self->m_state->context, [self] {
+                    if (self->m_phase == Phase::Open && self->m_responseShare)
+                        self->close(CloseReason::NoRoom);
+                });
+        });
+    m_responseShare->hold(bytes);
 }
 
 void Connection::startRequests()
@@ -236,6 +260,7 @@
 void Connection::linger()
 {
     m_phase = Phase::Lingering;
+    m_responseShare.reset();
     ErrorCode ignored;
     m_socket.cancel(ignored);
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -275,6 +300,8 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Closed;
+    m_requestShare.reset();
+    m_responseShare.reset();
     m_timer.cancel();
     ErrorCode ignored;
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -5,6 +5,10 @@
 #include "responsewriter.h"
 #include "serverstate.h"
 
+#include <sardinehinge/core/admission/progress.h>
+#include <sardinehinge/core/admission/waitingconnection.h>
+#include <sardinehinge/http/byteaccount.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -34,6 +38,11 @@
     void sendResponse(ExchangeId exchange, Response response, std::optional<std::size_t> truncateAt);
     void abort(ExchangeId exchange);
 
+    /// Whether a request has arrived of which nothing has been read.
+    bool hasUnreadRequest() { return m_reading == Reading::Awaiting && hasInput(); }
+    /// How long and how slowly it waits for a request, unless one is in work or a response is being written.
+    std::optional<core::WaitingConnection> waiting() const;
+
     /// Memory for the caller's input and for responses, without requests that the handler has received.
     std::size_t heldBytes() const noexcept;
 
@@ -46,6 +55,8 @@
         Watching, ///< For the caller to leave: no further request may be read now.
     };
     enum class Input { None, Bytes, Closed };
+    /// Bodies up to this size aren't counted: the account leaves memory for them.
+    static constexpr std::size_t uncountedBytes = 4096;
 
     void proceed();
     void startRequests();
@@ -58,14 +69,23 @@
     void limitIdleTime();
     void readRequest();
     void limitReadTime(core::Duration timeout, bool isGrace = false);
+    void limitBodyTime();
+    bool hasProgressed() const;
     void headerRead(boost::system::error_code error);
-    void requestRead(boost::system::error_code error);
+    void readBody();
+    void bodyRead(boost::system::error_code error, std::size_t bytes);
+    void requestRead();
     void readFailed(boost::system::error_code error);
     void reject(int status, const std::string &detail);
     void watchForDisconnect();
     void watchState();
     void callerLeft(std::optional<CloseReason> reason = {});
 
+    bool hasRoomForBody();
+    void requestShareTakenBack(std::uint64_t step);
+    void refuseForRoom();
+    void countResponses();
+
     void linger();
     void discardInput();
     void close();
@@ -85,13 +105,20 @@
     ResponseWriter m_writer;
     RequestLine m_line;
     boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<boost::beast::http::request_parser<ArrivingBody>> m_parser;
+    std::unique_ptr<ByteShare> m_requestShare; ///< Of the request that arrives.
+    std::unique_ptr<ByteShare> m_responseShare; ///< Of the responses that wait or are being written.
     std::string m_peer;
     Phase m_phase = Phase::Open;
     Reading m_reading = Reading::None;
     std::uint64_t m_readStep = 0; ///< Changes with m_reading, so that completions of earlier steps are ignored.
     bool m_isInputEnded = false; ///< No further request is read.
     bool m_isProceeding = false;
+    bool m_isHeadRead = false; ///< Of the request that arrives, as the following.
+    std::uint64_t m_arrived = 0; ///< Bytes of the body, with its framing.
+    std::uint64_t m_periodBegin = 0; ///< Of these, at the begin of the period in which it must progress.
+    core::ProgressMeter m_progress;
+    std::chrono::steady_clock::time_point m_requestSince;
     std::uint64_t m_requests = 0; ///< Read on this connection.
     std::size_t m_discarded = 0; ///< Bytes, while lingering.
     std::chrono::steady_clock::time_point m_idleSince; ///< Start of the wait for the next request.
--- a/packages/http/src/connection_reading.cpp
+++ b/packages/http/src/connection_reading.cpp
@@ -28,6 +28,7 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusTimeout = 408;
+constexpr int statusUnavailable = 503;
 
 } // namespace
 
@@ -98,13 +99,33 @@
             return;
         if (!isGrace || self->input() == Input::Bytes)
             return self->limitReadTime(lateInputGrace, true);
-        self->reject(statusTimeout, "the request was not complete in time");
+        if (self->hasProgressed())
+            return self->limitBodyTime();
+        self->reject(statusTimeout,
+                     self->m_isHeadRead ? "the body arrives too slowly" : "the request was not complete in time");
     });
 }
 
+/// Starts the next period in which the body must progress.
+void Connection::limitBodyTime()
+{
+    m_periodBegin = m_arrived;
+    limitReadTime(m_state->limits.readTimeout);
+}
+
+bool Connection::hasProgressed() const
+{
+    const core::ProgressRule rule{m_state->limits.readTimeout, m_state->limits.bodyBytesPerSecond};
+    return m_isHeadRead && rule.isEnough(m_arrived - m_periodBegin);
+}
+
 void Connection::readRequest()
 {
     enter(Reading::Request);
+    m_isHeadRead = false;
+    m_arrived = 0;
+    m_requestSince = steady_clock::now();
+    m_progress = core::ProgressMeter(m_requestSince.time_since_epoch());
     m_parser.emplace();
     m_parser->header_limit(m_state->limits.headerBytes);
     m_parser->body_limit(m_state->limits.bodyBytes);
@@ -123,14 +144,93 @@
         return readFailed(error);
     if (const std::string fault = framingError(m_parser->get()); !fault.empty())
         return reject(statusBadRequest, fault);
-    // The parser would allocate the declared length at once.
     if (m_parser->content_length().value_or(0) > m_state->limits.bodyBytes)
         return readFailed(beast::http::error::body_limit);
-    beast::http::async_read(m_socket, m_buffer, *m_parser,
-                            [self = shared_from_this(), step = m_readStep](ErrorCode bodyError, std::size_t) {
-                                if (self->isIn(step))
-                                    self->requestRead(bodyError);
-                            });
+    m_isHeadRead = true;
+    m_parser->eager(true);
+    if (m_parser->is_done())
+        return requestRead();
+    limitBodyTime();
+    readBody();
+}
+
+void Connection::readBody()
+{
+    beast::http::async_read_some(m_socket, m_buffer, *m_parser,
+                                 [self = shared_from_this(), step = m_readStep](ErrorCode error, std::size_t bytes) {
+                                     if (self->isIn(step))
+                                         return self->bodyRead(error, bytes);
+                                     if (self->m_isInputEnded)
+                                         self->m_parser.reset(); // Refused meanwhile.
+                                 });
+}
+
+void Connection::bodyRead(ErrorCode error, std::size_t bytes)
+{
+    if (error)
+        return readFailed(error);
+    m_arrived += bytes;
+    m_progress.note(bytes, steady_clock::now().time_since_epoch());
+    if (m_requestShare)
+        m_requestShare->noteProgress(bytes);
+    if (m_parser->is_done())
+        return requestRead();
+    if (!hasRoomForBody()) {
+        refuseForRoom();
+        return m_parser.reset();
+    }
+    readBody();
+}
+
+/// Asks the account for room for what has arrived of the body.
+bool Connection::hasRoomForBody()
+{
+    const std::uint64_t arrived = m_parser->get().body().size();
+    if (m_state->account == nullptr || arrived <= uncountedBytes)
+        return true;
+    if (!m_requestShare) {
+        m_requestShare = m_state->account->open(
+            core::HeldUse::ArrivingRequest, m_peer, [weak = weak_from_this(), step = m_readStep] {
+                // Later: whoever needs the room is in the middle of its work.
+                if (const auto self = weak.lock())
+                    asio::post(self->m_state->context, [self, step] { self->requestShareTakenBack(step); });
+            });
+    }
+    const auto missing = m_parser->content_length_remaining();
+    const std::uint64_t limit = m_state->limits.bodyBytes;
+    return m_requestShare->resize(arrived, missing ? *missing : limit - std::min(limit, arrived));
+}
+
+void Connection::requestShareTakenBack(std::uint64_t step)
+{
+    if (isIn(step))
+        refuseForRoom();
+}
+
+/// Rejects the request that arrives, and frees what has arrived of it.
+void Connection::refuseForRoom()
+{
+    m_requestShare.reset();
+    reject(statusUnavailable, "no room for the request");
+    if (m_phase != Phase::Open)
+        return;
+    // Ends the read that may be pending, without harm to the responses that are being written.
+    ErrorCode ignored;
+    m_socket.shutdown(tcp::socket::shutdown_receive, ignored);
+}
+
+/// How long and how slowly the connection waits for a request.
+std::optional<core::WaitingConnection> Connection::waiting() const
+{
+    if (m_phase != Phase::Open || !m_line.isEmpty() || m_writer.isBusy())
+        return std::nullopt;
+    const auto now = steady_clock::now();
+    if (m_reading == Reading::Awaiting && m_buffer.size() == 0)
+        return core::WaitingConnection{0, true, now - m_idleSince, 0};
+    if (m_reading == Reading::Request)
+        return core::WaitingConnection{0, false, now - m_requestSince,
+                                       m_progress.bytesPerSecond(now.time_since_epoch())};
+    return std::nullopt;
 }
 
 void Connection::readFailed(ErrorCode error)
@@ -142,10 +242,12 @@
     reject(statusFor(error), error.message());
 }
 
-void Connection::requestRead(ErrorCode error)
+void Connection::requestRead()
 {
-    if (error)
-        return readFailed(error);
+    if (!hasRoomForBody()) {
+        refuseForRoom();
+        return m_parser.reset();
+    }
     // The caller may have left while the request waited to be read.
     if (input() == Input::Closed)
         return callerLeft(CloseReason::CallerLeft);
@@ -153,8 +255,11 @@
     enter(Reading::None);
     ++m_requests;
     const bool closes = !m_parser->get().keep_alive();
-    m_line.add(m_state->nextExchange++, toRequest(m_parser->release(), m_peer), steady_clock::now().time_since_epoch(),
-               closes);
+    if (m_requestShare)
+        m_requestShare->setUse(core::HeldUse::RequestInWork);
+    Request request = toRequest(m_parser->release(), m_peer);
+    request.share = std::move(m_requestShare);
+    m_line.add(m_state->nextExchange++, std::move(request), steady_clock::now().time_since_epoch(), closes);
     m_parser.reset();
     proceed();
 }
--- a/packages/http/src/responsewriter.cpp
+++ b/packages/http/src/responsewriter.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-ResponseWriter::ResponseWriter(asio::ip::tcp::socket &socket)
+ResponseWriter::ResponseWriter(asio::ip::tcp::socket &socket, Progress progress)
     : m_socket(socket)
+    , m_progress(std::move(progress))
     , m_timer(socket.get_executor())
 {
 }
@@ -52,6 +53,7 @@
             return finish({});
         m_lastProgress = std::chrono::steady_clock::now();
         freeWritten();
+        m_progress(bytes);
         writeSome(owner);
     });
 }
--- a/packages/http/src/responsewriter.h
+++ b/packages/http/src/responsewriter.h
@@ -17,9 +17,11 @@
 {
 public:
     using Done = std::function<void(boost::system::error_code)>;
+    using Progress = std::function<void(std::size_t bytes)>;
 
     /// `socket` must outlive the writer, and non-blocking mode must be left to it.
-    explicit ResponseWriter(boost::asio::ip::tcp::socket &socket);
+    /// `progress` is called for the bytes that the peer took, before `done`.
+    ResponseWriter(boost::asio::ip::tcp::socket &socket, Progress progress);
 
     /// Writes `head` and `body`, then calls `done`. `owner` keeps this object until then. Requires !isBusy().
     void write(const std::shared_ptr<void> &owner, std::string head, std::string body, core::Duration timeout,
@@ -36,6 +38,7 @@
     void finish(boost::system::error_code error);
 
     boost::asio::ip::tcp::socket &m_socket;
+    Progress m_progress;
     boost::asio::steady_timer m_timer;
     std::string m_head;
     std::string m_body;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -3,6 +3,8 @@
 #include "addresses.h"
 #include "connection.h"
 
+#include <sardinehinge/core/admission/waitingconnection.h>
+
 namespace sardinehinge::http {
 
 namespace asio = boost::asio;
@@ -10,6 +12,13 @@
 using ErrorCode = boost::system::error_code;
 using internal::Connection;
 
+namespace {
+
+/// Without a free descriptor, the next attempt to accept waits this long.
+constexpr std::chrono::milliseconds acceptPause(10);
+
+} // namespace
+
 void Server::State::accept()
 {
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
@@ -17,18 +26,50 @@
             return;
         if (!error)
             self->take(std::move(socket)); // A drain may have begun since the connection was accepted.
-        if (!self->isDraining && error != asio::error::operation_aborted)
-            self->accept();
+        if (self->isDraining || error == asio::error::operation_aborted)
+            return;
+        if (!error)
+            return self->accept();
+        // Most likely no descriptor is free.
+        self->displace();
+        self->acceptTimer.expires_after(acceptPause);
+        self->acceptTimer.async_wait([self](ErrorCode waitError) {
+            if (!waitError && !self->isStopped && !self->isDraining)
+                self->accept();
+        });
     });
 }
 
-/// Waits for the requests of a new connection, or closes it if there are too many.
+bool Server::State::displace()
+{
+    std::vector<core::WaitingConnection> waiting;
+    std::vector<std::shared_ptr<Connection>> connections;
+    for (const auto &connection : open) {
+        if (auto each = connection->waiting()) {
+            each->id = connections.size();
+            connections.push_back(connection);
+            waiting.push_back(*each);
+        }
+    }
+    while (const auto chosen = core::connectionToClose(waiting)) {
+        // Only the chosen one's socket is asked: a call for each connection would be dear.
+        if (!connections.at(*chosen)->hasUnreadRequest()) {
+            connections.at(*chosen)->close(CloseReason::Displaced);
+            return true;
+        }
+        std::erase_if(waiting, [&](const core::WaitingConnection &each) { return each.id == *chosen; });
+    }
+    return false;
+}
+
+/// Waits for the requests of a new connection. If there are too many, closes another one for it, or else the new one.
 void Server::State::take(tcp::socket socket)
 {
+    const bool hasPlace = open.size() < limits.connections || displace();
     const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
     open.insert(connection);
     openCount.store(open.size());
-    if (open.size() <= limits.connections)
+    if (hasPlace)
         connection->open();
     else
         connection->close(CloseReason::ConnectionLimit);
@@ -54,8 +95,8 @@
         action(*connection);
 }
 
-Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits)
-    : m_state(std::make_shared<State>(context, handler, limits))
+Server::Server(asio::io_context &context, RequestHandler &handler, ServerLimits limits, ByteAccount *account)
+    : m_state(std::make_shared<State>(context, handler, limits, account))
 {
 }
 
@@ -63,6 +104,7 @@
 {
     m_state->isStopped = true;
     m_state->open.clear(); // A connection refers to the state, too.
+    m_state->acceptTimer.cancel();
     ErrorCode ignored;
     m_state->acceptor.close(ignored);
 }
