--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -64,8 +64,8 @@
                      keepForPeers(FeedRelay::Kind::Configs, m_configs.position(), base, page.source);
                  },
                  [this](core::StoreEra era) { eraSeen(era); },
-                 [this](std::uint64_t revision, core::StoreEra era, auto done) {
-                     readNews(FeedRelay::Kind::Configs, revision, era, std::move(done));
+                 [this](std::uint64_t revision, core::StoreEra era, const auto &done) {
+                     readNews(FeedRelay::Kind::Configs, revision, era, done);
                  }},
                 configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
@@ -89,8 +89,8 @@
                         passOn(page.entries, base);
                     },
                     [this](core::StoreEra era) { eraSeen(era); },
-                    [this](std::uint64_t revision, core::StoreEra era, auto done) {
-                        readNews(FeedRelay::Kind::Targets, revision, era, std::move(done));
+                    [this](std::uint64_t revision, core::StoreEra era, const auto &done) {
+                        readNews(FeedRelay::Kind::Targets, revision, era, done);
                     }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -79,7 +79,7 @@
     void keepForPeers(FeedRelay::Kind kind, const core::FeedPosition &position, std::uint64_t base,
                       const std::string &source);
     void readNews(FeedRelay::Kind kind, std::uint64_t revision, core::StoreEra era,
-                  std::function<void(FeedRelay::Answers)> done);
+                  const std::function<void(FeedRelay::Answers)> &done);
     void passOn(const std::vector<edges::FeedEntry<core::RegisteredTarget>> &entries, std::uint64_t base);
     void setPauses();
     void publishTargets();
--- a/packages/daemon/src/gatewaycontrol_watches.cpp
+++ b/packages/daemon/src/gatewaycontrol_watches.cpp
@@ -79,7 +79,7 @@
 
 /// Reads changes from the daemon that sent the latest notice of them.
 void GatewayControl::readNews(FeedRelay::Kind kind, std::uint64_t revision, core::StoreEra era,
-                              std::function<void(FeedRelay::Answers)> done)
+                              const std::function<void(FeedRelay::Answers)> &done)
 {
     const auto peer = m_peers.find(m_newsFrom);
     if (peer == m_peers.end())
--- a/packages/http/src/bodies.h
+++ b/packages/http/src/bodies.h
@@ -66,7 +66,7 @@
 
     static std::uint64_t size(const value_type &body) { return body.size(); }
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that Beast asks for.
     {
     public:
         template<bool isRequest, class Fields>
@@ -103,7 +103,7 @@
 
     static std::uint64_t size(const value_type &body) { return body ? body->size() : 0; }
 
-    class writer
+    class writer // NOLINT(readability-identifier-naming): the name that Beast asks for.
     {
     public:
         using const_buffers_type = boost::asio::const_buffer;
