--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -274,6 +274,7 @@
         TargetState state;
         std::uint32_t notOwnerCount = 0; ///< Consecutive refusals of keys that it should own.
         Time nextProbe = 0ms; ///< Earliest next request while isRejectingKeys().
+        Locality locality = Locality::Abroad;
     };
 
     struct Service
@@ -358,7 +359,6 @@
     TargetChoice chooseCheapest(const Request &request, Service &service, Time now);
     /// Returns the cost factors by Locality for the next request of an unsharded service.
     std::array<double, localities> localityFactors(const SpillPolicy &spill);
-    Locality localityOf(const Target &target) const noexcept;
     void recordSpill(const Request &request, const Target &target, const GatewayAttemptEnd &end, Duration taken,
                      Time now);
     /// When the request's quarantine ends; 0 if it isn't quarantined.
--- a/packages/core/include/sardinehinge/core/membership/evacuations.h
+++ b/packages/core/include/sardinehinge/core/membership/evacuations.h
@@ -48,7 +48,7 @@
     std::vector<RegisteredTarget> markDraining(std::vector<RegisteredTarget> targets) const;
 
     /// Returns those of `keys` that no target outside the evacuated domains holds. Keys that one has held since the
-    /// evacuation began don't return, so the rest of them shows how far it is, whatever else moves meanwhile.
+    /// evacuation began don't return, so the rest of them shows how far it is, also while others move.
     std::vector<KeyRange> remainingKeys(const std::vector<KeyRange> &keys, const RangeOwners &owners,
                                         const std::vector<RegisteredTarget> &targets) const;
 
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -237,7 +237,7 @@
     target.nextProbe = now + m_limits.nonOwnerProbeInterval;
     m_effects.emplace_back(SendToTarget{request.head.id, request.attempts, target.entry.identity, request.service,
                                         target.entry.address, request.deadline - now, request.route->isIdempotent,
-                                        localityOf(target)});
+                                        target.locality});
 }
 
 void GatewayRouter::dispatchQueued(const std::string &serviceName, Time now)
--- a/packages/core/src/gatewayrouter_targets.cpp
+++ b/packages/core/src/gatewayrouter_targets.cpp
@@ -48,6 +48,7 @@
             const auto [found, isNew] = service.targets.try_emplace(id);
             Target &target = found->second;
             target.entry = *entry;
+            target.locality = entry->failureDomain == m_failureDomain ? Locality::Home : Locality::Abroad;
             if (isNew) {
                 target.state = TargetState(m_limits.targets);
                 if (const auto beliefs = service.departed.take(entry->identity)) {
@@ -203,11 +204,6 @@
     return {&target->second, GatewayError::NoOwner, false};
 }
 
-Locality GatewayRouter::localityOf(const Target &target) const noexcept
-{
-    return target.entry.failureDomain == m_failureDomain ? Locality::Home : Locality::Abroad;
-}
-
 std::array<double, localities> GatewayRouter::localityFactors(const SpillPolicy &spill)
 {
     if (!m_limits.adaptsSpill)
@@ -224,11 +220,11 @@
         UsualTime &usual = service.usualTimes[request.route->name];
         const double relativeTime = usual.add(taken);
         // The wait for a target at home is part of what staying costs.
-        const bool hasWaited = request.attempts == 1 && localityOf(target) == Locality::Home;
+        const bool hasWaited = request.attempts == 1 && target.locality == Locality::Home;
         const Duration wait = hasWaited ? request.sentAt - request.arrived : Duration(0);
-        service.spill.served(localityOf(target), relativeTime * (1 + ratio(wait, taken)), now);
+        service.spill.served(target.locality, relativeTime * (1 + ratio(wait, taken)), now);
     } else if (end.end == AttemptEnd::Shed)
-        service.spill.refused(localityOf(target), now);
+        service.spill.refused(target.locality, now);
 }
 
 GatewayRouter::TargetChoice GatewayRouter::chooseCheapest(const Request &request, Service &service, Time now)
@@ -261,11 +257,11 @@
             continue;
         isAnyUsable = true;
         // A target at home that is warming up relieves nobody yet.
-        const auto locality = state.isWarmingUp(now) ? Locality::Abroad : localityOf(target);
+        const auto locality = state.isWarmingUp(now) ? Locality::Abroad : target.locality;
         ++usable.at(static_cast<std::size_t>(locality));
         if (!score.hasRoom() || (locality == Locality::Abroad && !mayCross))
             continue;
-        const bool isPenalized = !m_limits.adaptsSpill && localityOf(target) == Locality::Abroad;
+        const bool isPenalized = !m_limits.adaptsSpill && target.locality == Locality::Abroad;
         const double cost = state.cost(isPenalized, service.baselineLatency, now)
             * factors.at(static_cast<std::size_t>(locality)) * jitter(m_random);
         if (isPermitted && cost < bestCost) {
--- a/packages/daemon/include/sardinehinge/daemon/metrics.h
+++ b/packages/daemon/include/sardinehinge/daemon/metrics.h
@@ -57,7 +57,7 @@
     prometheus::Counter &requestsQuarantined; ///< Rejected because targets that ran equal requests crashed.
     prometheus::Counter &feedReads; ///< Changes read from another daemon instead of the platform's store.
     prometheus::Counter &feedReadsFailed; ///< It didn't have them, or didn't answer in time: the store was called.
-    prometheus::Counter &feedReadsServed; ///< Other daemons' requests for changes, whatever their outcome.
+    prometheus::Counter &feedReadsServed; ///< Other daemons' requests for changes, of any outcome.
     prometheus::Counter &permitsGranted;
     prometheus::Counter &permitsDenied; ///< Requests for permits that weren't granted in full.
     prometheus::Counter &sendsHome; ///< To targets in the own failure domain.
--- a/packages/http/tests/callerlimits_test.cpp
+++ b/packages/http/tests/callerlimits_test.cpp
@@ -249,7 +249,7 @@
     CHECK(account.bytes(core::HeldUse::ArrivingResponse) == 0);
 }
 
-TEST_CASE("A shared body is sent as it is, whatever the request has")
+TEST_CASE("A shared body is sent instead of the request's own")
 {
     CountingServer running(http::ServerLimits(), core::accountLimitsOf(kib * kib));
     const auto body = GENERATE(as<std::size_t>(), 0, 1, 300 * kib);
