Reject responses whose status is none of HTTP

Callers saw: an answer with status 000 of a target in trouble, passed on as an answer of the target (MIXED). Cause: the parser accepts any three digits as a status, and nothing after it looked at them. The response was complete, so it was forwarded, and 999 counted as a server error that a retry may follow. Change: faultIn() looks at each head that the parser accepts. A response with a fault ends as one that was cut: the connection is reset, a request that may repeat goes to another target, any other gets 502. The fix is in the client that reads the responses of targets, to orders, of the store and of other daemons, in both products.

--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -19,7 +19,7 @@
     ConnectionRefused, ///< As NotSent: the peer's host refused the connection.
     NoOpenConnection, ///< As NotSent: see ExchangeOptions::opensConnections.
     NoResponse, ///< At least one byte of the request was written; no byte of its response was received.
-    TruncatedResponse, ///< The response began but its end wasn't received.
+    TruncatedResponse, ///< The response began but its end wasn't received, or it is no valid response.
     Complete, ///< The whole response was received.
 };
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -2,6 +2,7 @@
 
 #include "addresses.h"
 #include "bodies.h"
+#include "responsehead.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -276,6 +277,8 @@
         if (!state)
             return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
         if (m_parser->is_header_done() && !m_parser->eager()) {
+            if (const char *fault = internal::faultIn(m_parser->get()))
+                return finish(ExchangeOutcome::TruncatedResponse, fault);
             // The parser would allocate the declared length at once.
             if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
                 return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
