Reject responses with a header line that begins with a blank

Callers saw: an answer in whose head the name of a field held a blank, passed on with a body that was not the target's. Cause: the parser takes a line that begins with a blank for the rest of the line before (obsolete line folding). A length on such a line became a part of another value, the response had no length any more, and the part that had arrived when the connection closed was complete. The line itself was passed on inside the other value. A blank or control byte elsewhere in a name was rejected before; these cases are kept. Bytes that the parser rejected at once ended as if none had been received. Change: the client reads the head itself and looks for folded lines before it hands the bytes to the parser, which still ends at the first wrong byte. What was received is noted when it is received.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -225,6 +225,7 @@
 private:
     /// Beyond the header: at least a line of chunked coding.
     static constexpr std::size_t readAheadBytes = 64 * 1024UL;
+    static constexpr std::size_t maxReadBytes = 64 * 1024UL; ///< In one call.
     static constexpr const char *noRoom = "no room for the response in the account of bytes";
 
     void write()
@@ -255,48 +256,85 @@
         m_parser.emplace();
         m_parser->header_limit(state->limits.headerBytes);
         m_parser->body_limit(state->limits.bodyBytes);
-        m_hasReceived = false;
-        readSome();
+        m_hasReceived = m_buffer.size() != 0; // Behind an earlier response.
+        parseHead();
     }
 
-    void readSome()
+    /// Reads the head by itself, since the parser would unfold its lines.
+    void readHead()
+    {
+        const std::size_t space = beast::read_size(m_buffer, maxReadBytes);
+        if (space == 0)
+            return finish(ExchangeOutcome::TruncatedResponse, "the head exceeds its limit");
+        m_stream->async_read_some(m_buffer.prepare(space),
+                                  [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                      self->m_buffer.commit(bytes);
+                                      self->m_hasReceived = self->m_hasReceived || bytes != 0;
+                                      if (error)
+                                          return self->readFailed(error);
+                                      self->parseHead();
+                                  });
+    }
+
+    void parseHead()
+    {
+        const auto received = m_buffer.cdata();
+        if (internal::hasFoldedLine({static_cast<const char *>(received.data()), received.size()}))
+            return finish(ExchangeOutcome::TruncatedResponse, "a line of the head begins with a blank");
+        ErrorCode error = beast::http::error::need_more;
+        if (received.size() != 0)
+            m_buffer.consume(m_parser->put(received, error));
+        if (error == beast::http::error::need_more && !m_parser->is_header_done())
+            return readHead();
+        if (error)
+            return readFailed(error);
+        const auto state = m_state.lock();
+        if (!state)
+            return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
+        if (const char *fault = internal::faultIn(m_parser->get()))
+            return finish(ExchangeOutcome::TruncatedResponse, fault);
+        // The parser would allocate the declared length at once.
+        if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
+            return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
+        m_parser->eager(true);
+        if (m_parser->is_done())
+            return responseRead();
+        readBody();
+    }
+
+    void readBody()
     {
         beast::http::async_read_some(*m_stream, m_buffer, *m_parser,
-                                     [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                                         self->m_hasReceived = self->m_hasReceived || bytes != 0;
-                                         self->someRead(error);
+                                     [self = shared_from_this()](ErrorCode error, std::size_t) {
+                                         if (error)
+                                             return self->readFailed(error);
+                                         self->someOfBodyRead();
                                      });
     }
 
-    void someRead(ErrorCode error)
+    void someOfBodyRead()
     {
-        if (error)
-            return finish(m_hasReceived ? ExchangeOutcome::TruncatedResponse : ExchangeOutcome::NoResponse,
-                          error.message());
         const auto state = m_state.lock();
         if (!state)
             return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
-        if (m_parser->is_header_done() && !m_parser->eager()) {
-            if (const char *fault = internal::faultIn(m_parser->get()))
-                return finish(ExchangeOutcome::TruncatedResponse, fault);
-            // The parser would allocate the declared length at once.
-            if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
-                return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
-            m_parser->eager(true);
-        }
         countBody(*state, m_parser->get().body().size());
         if (state->bodyBytes > state->limits.totalBodyBytes)
             return finish(ExchangeOutcome::TruncatedResponse, "the unfinished responses exceed their limit");
         if (!m_parser->is_done()) {
             if (!hasRoom(*state))
                 return finish(ExchangeOutcome::TruncatedResponse, noRoom);
-            return readSome();
+            return readBody();
         }
         m_share.reset();
         countBody(*state, 0);
         responseRead();
     }
 
+    void readFailed(ErrorCode error)
+    {
+        finish(m_hasReceived ? ExchangeOutcome::TruncatedResponse : ExchangeOutcome::NoResponse, error.message());
+    }
+
     /// Asks the account for room for what has arrived of the response. Most responses arrive whole and need none.
     bool hasRoom(Client::State &state)
     {
--- a/packages/http/src/responsehead.cpp
+++ b/packages/http/src/responsehead.cpp
@@ -9,6 +9,19 @@
 
 } // namespace
 
+bool hasFoldedLine(std::string_view text) noexcept
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    for (auto at = text.find(lineEnd); at != std::string_view::npos; at = text.find(lineEnd, at)) {
+        at += lineEnd.size();
+        if (at == text.size() || text[at] == '\r') // So far, or the end of the head.
+            return false;
+        if (text[at] == ' ' || text[at] == '\t')
+            return true;
+    }
+    return false;
+}
+
 const char *faultIn(const ResponseHead &head) noexcept
 {
     if (head.result_int() < firstStatus || head.result_int() > lastStatus)
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -50,3 +50,63 @@
     CHECK(end.outcome == outcome);
     CHECK(end.response.body == (outcome == http::ExchangeOutcome::Complete ? "ok" : ""));
 }
+
+TEST_CASE("A response with a blank or a control byte in the name of a header is broken, wherever the line stands")
+{
+    const std::string line = GENERATE(values<std::string>({
+        " Name: x",
+        "\tName: x",
+        "Na me: x",
+        "Name : x",
+        "Name\t: x",
+        "Na\x01me: x",
+        std::string("Na\0me: x", 8),
+        "Na\x7fme: x",
+        "\x1fName: x",
+        "Na\rme: x",
+        ": x",
+        " : x",
+        "Name",
+        " ",
+        " Content-Length: 20",
+        "Content-Length : 20",
+        "Content-Length\t: 20",
+        " Transfer-Encoding: chunked",
+        "Transfer-Encoding : chunked",
+        " Id: other",
+    }));
+    const auto [place, before, after] = GENERATE(table<const char *, std::string, std::string>({
+        {"first", "HTTP/1.1 200 OK\r\n", "\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"},
+        {"amid", "HTTP/1.1 200 OK\r\nId: mine\r\n", "\r\nContent-Length: 2\r\n\r\nok"},
+        {"last", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: mine\r\n", "\r\n\r\nok"},
+        {"last, without a length", "HTTP/1.1 200 OK\r\nId: mine\r\n", "\r\n\r\nok"},
+    }));
+    const Reader reader = GENERATE(Reader::OfTargets, Reader::OfOthers);
+    INFO("line \"" << line << "\" " << place);
+    const auto end = read(before + line + after, reader);
+    CHECK(end.outcome == http::ExchangeOutcome::TruncatedResponse);
+    CHECK(end.response.headers.empty());
+}
+
+TEST_CASE("Bytes that are no head count as a response that began")
+{
+    const std::string bytes = GENERATE(values<std::string>({
+        "HTTP/1.1 20 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 2000 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 -20 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/2.0 200 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/0.9 200 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "http/1.1 200 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "\r\nHTTP/1.1 200 X\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 X\nId: mine\nContent-Length: 2\n\nok",
+        "HTTP/1.1 200 O\x01K\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nId: mi\x01ne\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: -2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 99999999999999999999\r\n\r\nok",
+        "no response at all",
+    }));
+    const Reader reader = GENERATE(Reader::OfTargets, Reader::OfOthers);
+    INFO(bytes);
+    CHECK(read(bytes, reader).outcome == http::ExchangeOutcome::TruncatedResponse);
+}
