Don't take an interim response for the answer

Callers saw: 100, 101 or 103 as the answer of a target that repeats the request's id in its interim responses, and then bytes of the real answer where the next one was due. Without the id, on the project's own edge, the answer that followed an interim response was lost. Cause: the client took the first response that names the request, whatever its status. Change: up to four interim responses are discarded, as responses to earlier requests are. 101 is no answer: the client asks for no other protocol.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -26,7 +26,8 @@
 
 constexpr unsigned statusNoContent = 204; ///< Never has a body.
 
-constexpr int maxUnrelatedResponses = 4; ///< With more responses to earlier requests, the exchange fails.
+/// With more interim responses and responses to earlier requests, the exchange fails.
+constexpr int maxDiscardedResponses = 4;
 constexpr std::chrono::seconds expiryCheckInterval(1); ///< Between two checks for expired idle connections.
 
 class Exchange;
@@ -260,6 +261,14 @@
         parseHead();
     }
 
+    /// Discards what was read, which isn't the response to the request.
+    void readNext(const char *faultIfTooMany)
+    {
+        if (++m_discardedResponses > maxDiscardedResponses)
+            return finish(ExchangeOutcome::NoResponse, faultIfTooMany);
+        read();
+    }
+
     /// Reads the head by itself, since the parser would unfold its lines.
     void readHead()
     {
@@ -293,6 +302,8 @@
             return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
         if (const char *fault = internal::faultIn(m_parser->get()))
             return finish(ExchangeOutcome::TruncatedResponse, fault);
+        if (internal::isInterim(m_parser->get()))
+            return readNext("too many interim responses");
         // The parser would allocate the declared length at once.
         if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
             return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
@@ -366,9 +377,8 @@
     {
         const auto &head = m_parser->get();
         if (m_options.echoedHeader && head[m_options.echoedHeader->first] != m_options.echoedHeader->second) {
-            if (m_parser->need_eof() || ++m_unrelatedResponses > maxUnrelatedResponses)
-                return finish(ExchangeOutcome::NoResponse, "the response belongs to another request");
-            return read();
+            constexpr const char *unrelated = "the response belongs to another request";
+            return m_parser->need_eof() ? finish(ExchangeOutcome::NoResponse, unrelated) : readNext(unrelated);
         }
         const bool hasLength = head.has_content_length() || head.chunked() || head.result_int() == statusNoContent;
         if (!hasLength && !m_options.acceptsCloseDelimited)
@@ -411,7 +421,7 @@
     std::string m_address;
     ExchangeOptions m_options;
     SteadyTime m_deadline;
-    int m_unrelatedResponses = 0;
+    int m_discardedResponses = 0;
     bool m_isSending = false;
     bool m_hasReceived = false; ///< Bytes of the current response.
     std::uint64_t m_countedBytes = 0; ///< In State::bodyBytes.
--- a/packages/http/src/responsehead.cpp
+++ b/packages/http/src/responsehead.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr unsigned firstStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned lastStatus = 599;
 
 } // namespace
@@ -26,7 +27,14 @@
 {
     if (head.result_int() < firstStatus || head.result_int() > lastStatus)
         return "the status is not one of HTTP";
+    if (head.result() == boost::beast::http::status::switching_protocols)
+        return "the response switches to another protocol";
     return nullptr;
 }
 
+bool isInterim(const ResponseHead &head) noexcept
+{
+    return head.result_int() < firstFinalStatus;
+}
+
 } // namespace sardinehinge::http::internal
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -88,6 +88,28 @@
     CHECK(end.response.headers.empty());
 }
 
+TEST_CASE("Interim responses don't pass for the response that follows them")
+{
+    struct Case
+    {
+        std::string interim;
+        http::ExchangeOutcome outcome;
+    };
+    const auto [interim, outcome] = GENERATE(values<Case>({
+        {"HTTP/1.1 100 Continue\r\n\r\n", http::ExchangeOutcome::Complete},
+        {"HTTP/1.1 100 Continue\r\nId: mine\r\n\r\n", http::ExchangeOutcome::Complete},
+        {"HTTP/1.1 103 Early Hints\r\nId: mine\r\nContent-Length: 2\r\n\r\n", http::ExchangeOutcome::Complete},
+        // Nobody asked for another protocol: what follows isn't HTTP.
+        {"HTTP/1.1 101 Switching Protocols\r\nId: mine\r\n\r\n", http::ExchangeOutcome::TruncatedResponse},
+    }));
+    const Reader reader = GENERATE(Reader::OfTargets, Reader::OfOthers);
+    INFO(interim);
+    const auto end = read(interim + "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", reader);
+    CHECK(end.outcome == outcome);
+    CHECK(end.response.status == 200);
+    CHECK(end.response.body == (outcome == http::ExchangeOutcome::Complete ? "ok" : ""));
+}
+
 TEST_CASE("Bytes that are no head count as a response that began")
 {
     const std::string bytes = GENERATE(values<std::string>({
