Reject responses with a transfer coding that the client can't decode

Callers saw: bodies that weren't the target's: in another coding, or with the framing of chunks in them. Cause: the parser joins chunks if chunked is the last coding and passes over all others, and what isn't chunked it reads up to the close. The header is dropped when the response is forwarded, so nothing told the caller. Change: faultIn() accepts chunked alone, once, in HTTP/1.1.

--- a/packages/http/src/responsehead.cpp
+++ b/packages/http/src/responsehead.cpp
@@ -1,13 +1,29 @@
 #include "responsehead.h"
 
+#include <boost/beast/core/string.hpp>
+
 namespace sardinehinge::http::internal {
 
+namespace beast = boost::beast;
+
 namespace {
 
+constexpr unsigned firstVersionWithCodings = 11; ///< HTTP/1.1.
+
 constexpr unsigned firstStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned lastStatus = 599;
 
+/// Whether the body arrives as it is or in chunks, which the parser joins. It passes over all other codings.
+bool isCodingKnown(const ResponseHead &head) noexcept
+{
+    const auto [first, last] = head.equal_range(beast::http::field::transfer_encoding);
+    if (first == last)
+        return true;
+    return std::next(first) == last && beast::iequals(first->value(), "chunked")
+        && head.version() >= firstVersionWithCodings;
+}
+
 } // namespace
 
 bool hasFoldedLine(std::string_view text) noexcept
@@ -27,8 +43,10 @@
 {
     if (head.result_int() < firstStatus || head.result_int() > lastStatus)
         return "the status is not one of HTTP";
-    if (head.result() == boost::beast::http::status::switching_protocols)
+    if (head.result() == beast::http::status::switching_protocols)
         return "the response switches to another protocol";
+    if (!isCodingKnown(head))
+        return "the transfer coding isn't chunked alone";
     return nullptr;
 }
 
--- a/packages/http/src/responsehead.h
+++ b/packages/http/src/responsehead.h
@@ -17,7 +17,8 @@
 /// Returns why a head that the parser accepts is no head of a response all the same, or nullptr if it is one.
 ///
 /// A status outside 100 to 599 is invalid (RFC 9110, section 15): callers couldn't read the response either. Status 101
-/// answers a request for another protocol, which the client never sends.
+/// answers a request for another protocol, which the client never sends. The body of another transfer coding than
+/// chunked can't be read (RFC 9112, section 6.1), nor can any coding in HTTP/1.0.
 const char *faultIn(const ResponseHead &head) noexcept;
 
 /// Whether another response to the same request follows this one.
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -110,6 +110,33 @@
     CHECK(end.response.body == (outcome == http::ExchangeOutcome::Complete ? "ok" : ""));
 }
 
+TEST_CASE("A response with another transfer coding than chunked is broken, since its body isn't the sender's")
+{
+    const auto [version, headers, isComplete] = GENERATE(table<std::string, std::string, bool>({
+        {"1.1", "Transfer-Encoding: chunked\r\n", true},
+        {"1.1", "Transfer-Encoding: Chunked \r\n", true},
+        {"1.1", "Transfer-Encoding: gzip, chunked\r\n", false},
+        {"1.1", "Transfer-Encoding: chunked, gzip\r\n", false},
+        {"1.1", "Transfer-Encoding: chunked, chunked\r\n", false},
+        {"1.1", "Transfer-Encoding: gzip\r\n", false},
+        {"1.1", "Transfer-Encoding: xchunked\r\n", false},
+        {"1.1", "Transfer-Encoding: chunked;a=b\r\n", false},
+        {"1.1", "Transfer-Encoding: identity\r\n", false},
+        {"1.1", "Transfer-Encoding:\r\n", false},
+        {"1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", false},
+        {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", false},
+        {"1.1", "Transfer-Encoding: gzip\r\nContent-Length: 12\r\n", false},
+        {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n", false},
+        {"1.1", "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n", false},
+        {"1.0", "Transfer-Encoding: chunked\r\n", false},
+    }));
+    const Reader reader = GENERATE(Reader::OfTargets, Reader::OfOthers);
+    INFO("HTTP/" << version << ", " << headers);
+    const auto end = read("HTTP/" + version + " 200 OK\r\nId: mine\r\n" + headers + "\r\n2\r\nok\r\n0\r\n\r\n", reader);
+    CHECK(end.outcome == (isComplete ? http::ExchangeOutcome::Complete : http::ExchangeOutcome::TruncatedResponse));
+    CHECK(end.response.body == (isComplete ? "ok" : ""));
+}
+
 TEST_CASE("Bytes that are no head count as a response that began")
 {
     const std::string bytes = GENERATE(values<std::string>({
