Don't take the fields of a trailer for headers

Callers saw: bodies signed by a trailer, or a request repeated since a trailer called it not executed. Cause: the parser adds the fields of a trailer to those of the head, so bytes behind the body decided whose response it was and whether the request had run. Change: the headers of a response are copied when its head is complete.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -42,11 +42,6 @@
     SteadyTime expiresAt; ///< The peer may close the connection from then on.
 };
 
-std::string_view toView(beast::string_view text) noexcept
-{
-    return {text.data(), text.size()};
-}
-
 /// How long an idle connection may be reused, from the peer's Keep-Alive header: 80% of the timeout there, since the
 /// peer's timer started earlier.
 std::chrono::milliseconds idleLifetime(std::string_view header)
@@ -304,6 +299,10 @@
             return finish(ExchangeOutcome::TruncatedResponse, fault);
         if (internal::isInterim(m_parser->get()))
             return readNext("too many interim responses");
+        // Now, since the parser adds the fields of a trailer.
+        m_response = {static_cast<int>(m_parser->get().result_int()), {}, {}};
+        for (const auto &field : m_parser->get())
+            m_response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
         // The parser would allocate the declared length at once.
         if (m_parser->content_length().value_or(0) > state->limits.bodyBytes)
             return finish(ExchangeOutcome::TruncatedResponse, "the declared length exceeds the body limit");
@@ -376,26 +375,23 @@
     void responseRead()
     {
         const auto &head = m_parser->get();
-        if (m_options.echoedHeader && head[m_options.echoedHeader->first] != m_options.echoedHeader->second) {
+        if (m_options.echoedHeader
+            && headerValue(m_response.headers, m_options.echoedHeader->first) != m_options.echoedHeader->second) {
             constexpr const char *unrelated = "the response belongs to another request";
             return m_parser->need_eof() ? finish(ExchangeOutcome::NoResponse, unrelated) : readNext(unrelated);
         }
         const bool hasLength = head.has_content_length() || head.chunked() || head.result_int() == statusNoContent;
         if (!hasLength && !m_options.acceptsCloseDelimited)
             return finish(ExchangeOutcome::TruncatedResponse, "the response has neither a length nor chunked coding");
-        auto message = m_parser->release();
-        const bool keepAlive = m_options.keepsConnection && hasLength && message.keep_alive() && m_buffer.size() == 0;
-        ExchangeResult result{
-            ExchangeOutcome::Complete, {static_cast<int>(message.result_int()), {}, message.body().take()}, {}};
-        for (const auto &field : message)
-            result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        const bool keepAlive = m_options.keepsConnection && hasLength && head.keep_alive() && m_buffer.size() == 0;
+        m_response.body = m_parser->release().body().take();
         const auto state = m_state.lock();
         if (state && keepAlive) {
             m_stream->expires_never();
-            const auto lifetime = idleLifetime(toView(message[beast::http::field::keep_alive]));
+            const auto lifetime = idleLifetime(headerValue(m_response.headers, "Keep-Alive").value_or(std::string()));
             state->addIdle(m_address, std::move(m_stream), lifetime);
         }
-        report(std::move(result));
+        report({ExchangeOutcome::Complete, std::move(m_response), {}});
     }
 
     void finish(ExchangeOutcome outcome, const std::string &detail)
@@ -432,6 +428,7 @@
     Stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    Response m_response; ///< Its head is read, its body is with the parser.
 };
 
 } // namespace
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -137,6 +137,25 @@
     CHECK(end.response.body == (isComplete ? "ok" : ""));
 }
 
+TEST_CASE("Fields of a trailer aren't taken for headers")
+{
+    const std::string trailer = GENERATE(values<std::string>({
+        "Id: mine",
+        "Signature: x",
+        "Not-Executed: 1",
+    }));
+    const bool hasId = GENERATE(true, false);
+    INFO(trailer << (hasId ? "" : ", no id in the head"));
+    const auto end = read("HTTP/1.1 200 OK\r\n" + std::string(hasId ? "Id: mine\r\n" : "")
+                              + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n\r\n",
+                          Reader::OfTargets);
+    CHECK(end.outcome == (hasId ? http::ExchangeOutcome::Complete : http::ExchangeOutcome::NoResponse));
+    const std::string name = trailer.substr(0, trailer.find(':'));
+    CHECK(std::count_if(end.response.headers.begin(), end.response.headers.end(),
+                        [&](const auto &header) { return header.first == name; })
+          == (hasId && name == "Id" ? 1 : 0));
+}
+
 TEST_CASE("Bytes that are no head count as a response that began")
 {
     const std::string bytes = GENERATE(values<std::string>({
