Reject a 204 that announces a body

Callers saw: 204 without the body that the target sent with it; the bytes of that body stood where the next response on the connection was due. Cause: the parser ends a 204 at its head, whatever length it names. Change: faultIn() rejects a 204 with a transfer coding or a length other than 0. A 304 may name the length that the body would have had, and is complete as before.

--- a/packages/http/src/responsehead.cpp
+++ b/packages/http/src/responsehead.cpp
@@ -24,6 +24,17 @@
         && head.version() >= firstVersionWithCodings;
 }
 
+/// Whether the head announces a body that the status rules out. The bytes of that body would pass for the next
+/// response.
+bool announcesForbiddenBody(const ResponseHead &head)
+{
+    if (head.result() != beast::http::status::no_content)
+        return false;
+    const auto length = head[beast::http::field::content_length];
+    return head.count(beast::http::field::transfer_encoding) != 0
+        || length.find_first_not_of('0') != beast::string_view::npos;
+}
+
 } // namespace
 
 bool hasFoldedLine(std::string_view text) noexcept
@@ -47,6 +58,8 @@
         return "the response switches to another protocol";
     if (!isCodingKnown(head))
         return "the transfer coding isn't chunked alone";
+    if (announcesForbiddenBody(head))
+        return "a response without content announces a body";
     return nullptr;
 }
 
--- a/packages/http/src/responsehead.h
+++ b/packages/http/src/responsehead.h
@@ -18,7 +18,8 @@
 ///
 /// A status outside 100 to 599 is invalid (RFC 9110, section 15): callers couldn't read the response either. Status 101
 /// answers a request for another protocol, which the client never sends. The body of another transfer coding than
-/// chunked can't be read (RFC 9112, section 6.1), nor can any coding in HTTP/1.0.
+/// chunked can't be read (RFC 9112, section 6.1), nor can any coding in HTTP/1.0. Status 204 has no body (RFC 9110,
+/// section 8.6).
 const char *faultIn(const ResponseHead &head) noexcept;
 
 /// Whether another response to the same request follows this one.
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -156,6 +156,22 @@
           == (hasId && name == "Id" ? 1 : 0));
 }
 
+TEST_CASE("A response that can't have a body but announces one is broken")
+{
+    const auto [head, isComplete] = GENERATE(table<std::string, bool>({
+        {"204 No Content\r\nId: mine\r\n", true},
+        {"204 No Content\r\nId: mine\r\nContent-Length: 0\r\n", true},
+        {"204 No Content\r\nId: mine\r\nContent-Length: 2\r\n", false},
+        {"204 No Content\r\nId: mine\r\nTransfer-Encoding: chunked\r\n", false},
+        // The length that the body would have had.
+        {"304 Not Modified\r\nId: mine\r\nContent-Length: 2\r\n", true},
+    }));
+    INFO(head);
+    const auto end = read("HTTP/1.1 " + head + "\r\n", Reader::OfTargets, false);
+    CHECK(end.outcome == (isComplete ? http::ExchangeOutcome::Complete : http::ExchangeOutcome::TruncatedResponse));
+    CHECK(end.response.body.empty());
+}
+
 TEST_CASE("Bytes that are no head count as a response that began")
 {
     const std::string bytes = GENERATE(values<std::string>({
