Don't take a response that names two requests for either's

Callers saw: an answer with two ids, one of another request. Cause: the client compared the first header with the id of the request and passed over a second one. Change: each header of that name must hold the request's id.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -372,11 +372,27 @@
         state.bodyBytes += bytes - std::exchange(m_countedBytes, bytes);
     }
 
+    /// Whether the response repeats the header of this request, and not that of another besides.
+    bool isOwnResponse() const
+    {
+        if (!m_options.echoedHeader)
+            return true;
+        const auto &[name, value] = *m_options.echoedHeader;
+        bool isOwn = false;
+        for (const auto &[eachName, eachValue] : m_response.headers) {
+            if (!beast::iequals(eachName, name))
+                continue;
+            if (eachValue != value)
+                return false;
+            isOwn = true;
+        }
+        return isOwn;
+    }
+
     void responseRead()
     {
         const auto &head = m_parser->get();
-        if (m_options.echoedHeader
-            && headerValue(m_response.headers, m_options.echoedHeader->first) != m_options.echoedHeader->second) {
+        if (!isOwnResponse()) {
             constexpr const char *unrelated = "the response belongs to another request";
             return m_parser->need_eof() ? finish(ExchangeOutcome::NoResponse, unrelated) : readNext(unrelated);
         }
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -172,6 +172,18 @@
     CHECK(end.response.body.empty());
 }
 
+TEST_CASE("A response that names a second request besides its own belongs to neither")
+{
+    const auto [ids, outcome] = GENERATE(table<std::string, http::ExchangeOutcome>({
+        {"Id: mine\r\nId: mine\r\n", http::ExchangeOutcome::Complete},
+        {"Id: mine\r\nId: other\r\n", http::ExchangeOutcome::NoResponse},
+        {"Id: other\r\nId: mine\r\n", http::ExchangeOutcome::NoResponse},
+    }));
+    INFO(ids);
+    const auto end = read("HTTP/1.1 200 OK\r\n" + ids + "Content-Length: 2\r\n\r\nok", Reader::OfTargets);
+    CHECK(end.outcome == outcome);
+}
+
 TEST_CASE("Bytes that are no head count as a response that began")
 {
     const std::string bytes = GENERATE(values<std::string>({
