--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -2,6 +2,7 @@
 
 #include "addresses.h"
 #include "bodies.h"
+#include "idleconnections.h"
 #include "responsehead.h"
 
 #include <boost/asio/post.hpp>
@@ -10,8 +11,6 @@
 
 #include <netinet/tcp.h>
 
-#include <charconv>
-#include <deque>
 #include <map>
 #include <optional>
 
@@ -28,35 +27,11 @@
 
 /// With more interim responses and responses to earlier requests, the exchange fails.
 constexpr int maxDiscardedResponses = 4;
-constexpr std::chrono::seconds expiryCheckInterval(1); ///< Between two checks for expired idle connections.
 
 class Exchange;
-using Stream = std::unique_ptr<beast::tcp_stream>;
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-/// An open connection without an exchange.
-struct IdleStream
-{
-    Stream stream;
-    SteadyTime idleSince;
-    SteadyTime expiresAt; ///< The peer may close the connection from then on.
-};
-
-/// How long an idle connection may be reused, from the peer's Keep-Alive header: 80% of the timeout there, since the
-/// peer's timer started earlier.
-std::chrono::milliseconds idleLifetime(std::string_view header)
-{
-    constexpr std::chrono::milliseconds maxKeepAlive(4000); // Shorter than the usual idle timeouts of servers.
-    const auto at = header.find("timeout=");
-    if (at == std::string_view::npos)
-        return maxKeepAlive;
-    std::uint32_t seconds = 0;
-    const std::string_view digits = header.substr(at + 8);
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    if (parsed.ec == std::errc::result_out_of_range)
-        return maxKeepAlive;
-    return std::min(maxKeepAlive, std::chrono::milliseconds(std::int64_t{seconds} * 800));
-}
+using internal::idleLifetime;
+using internal::SteadyTime;
+using internal::Stream;
 
 /// Makes the close of the connection, by this process or by its end, a reset that discards unsent bytes.
 void resetOnClose(beast::tcp_stream &stream)
@@ -73,16 +48,6 @@
     stream.socket().set_option(UserTimeout(static_cast<int>(std::max<std::int64_t>(timeout.count(), 1))), ignored);
 }
 
-/// Whether the peer has closed an idle connection, or has sent bytes that belong to no request.
-bool isStale(beast::tcp_stream &stream)
-{
-    char byte = 0;
-    ErrorCode error;
-    stream.socket().non_blocking(true, error);
-    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
-}
-
 } // namespace
 
 struct Client::State
@@ -91,54 +56,15 @@
         : context(ioContext)
         , limits(clientLimits)
         , account(resourceAccount)
+        , idle(clientLimits.idleConnections)
     {
     }
 
-    /// Removes and returns a connection to `address` that has been idle for at most `maxIdleTime`, or nullptr.
-    Stream takeIdle(const std::string &address, core::Duration maxIdleTime)
-    {
-        const auto now = std::chrono::steady_clock::now();
-        closeExpired(now);
-        const auto found = idle.find(address);
-        if (found == idle.end())
-            return nullptr;
-        auto &streams = found->second;
-        while (!streams.empty()) {
-            if (now - streams.back().idleSince > maxIdleTime)
-                return nullptr;
-            IdleStream entry = std::move(streams.back());
-            streams.pop_back();
-            if (now < entry.expiresAt && !isStale(*entry.stream))
-                return std::move(entry.stream);
-        }
-        return nullptr;
-    }
-
-    void addIdle(const std::string &address, Stream stream, std::chrono::milliseconds lifetime)
-    {
-        auto &streams = idle[address];
-        const auto now = std::chrono::steady_clock::now();
-        if (streams.size() < limits.idleConnections)
-            streams.push_back({std::move(stream), now, now + lifetime});
-    }
-
-    /// Closes expired idle connections, so that peers that no longer exist hold no file descriptors.
-    void closeExpired(SteadyTime now)
-    {
-        if (now < nextExpiryCheck)
-            return;
-        nextExpiryCheck = now + expiryCheckInterval;
-        for (auto &[address, streams] : idle)
-            std::erase_if(streams, [now](const IdleStream &entry) { return now >= entry.expiresAt; });
-        std::erase_if(idle, [](const auto &entry) { return entry.second.empty(); });
-    }
-
     asio::io_context &context;
     ClientLimits limits;
     ByteAccount *account; ///< Counts the responses that arrive; may be null.
     ExchangeId nextId = 1;
-    std::map<std::string, std::deque<IdleStream>> idle;
-    SteadyTime nextExpiryCheck;
+    internal::IdleConnections idle;
     std::uint64_t bodyBytes = 0; ///< Of the unfinished responses.
     std::map<ExchangeId, std::shared_ptr<Exchange>> active;
 };
@@ -182,7 +108,7 @@
         const auto state = m_state.lock();
         m_buffer.max_size(state->limits.headerBytes + readAheadBytes);
         if (m_options.reusesConnections)
-            m_stream = state->takeIdle(m_address, m_options.maxIdleTime);
+            m_stream = state->idle.take(m_address, m_options.maxIdleTime);
         if (m_stream)
             return write();
         if (!m_options.opensConnections)
@@ -405,7 +331,7 @@
         if (state && keepAlive) {
             m_stream->expires_never();
             const auto lifetime = idleLifetime(headerValue(m_response.headers, "Keep-Alive").value_or(std::string()));
-            state->addIdle(m_address, std::move(m_stream), lifetime);
+            state->idle.add(m_address, std::move(m_stream), lifetime);
         }
         report({ExchangeOutcome::Complete, std::move(m_response), {}});
     }
@@ -495,7 +421,7 @@
                 ErrorCode ignored;
                 (*stream)->socket().set_option(tcp::no_delay(true), ignored);
                 (*stream)->expires_never();
-                state->addIdle(address, std::move(*stream), idleLifetime({}));
+                state->idle.add(address, std::move(*stream), idleLifetime({}));
             }
             if (state && !error)
                 done(ConnectOutcome::Open);
@@ -519,10 +445,7 @@
 
 std::size_t Client::connections() const noexcept
 {
-    std::size_t count = m_state->active.size();
-    for (const auto &[address, streams] : m_state->idle)
-        count += streams.size();
-    return count;
+    return m_state->active.size() + m_state->idle.count();
 }
 
 } // namespace sardinehinge::http
