Don't take a broken answer of a daemon for an empty one in sardinehingectl

Callers saw: an operator's command that read a workspace document whose answer broke off went on with an empty one. Cause: a status was enough, and a body that can't be read counted as an empty object. Change: errors below HTTP and bodies that aren't JSON end the command with one line that names the step.

--- a/packages/client/include/sardinehinge/client/connection.h
+++ b/packages/client/include/sardinehinge/client/connection.h
@@ -29,9 +29,10 @@
     /// `address` is IP:PORT.
     explicit Connection(const std::string &address);
 
-    /// Sends a GET request. Returns an error of step `connect` if no response arrives.
+    /// Sends a GET request. Returns an error of step `connect` if no whole response arrives, and of step `read` if its
+    /// body isn't JSON.
     core::Result<Response> get(const QString &path);
-    /// Sends a POST request with a JSON body. Returns an error of step `connect` if no response arrives.
+    /// Sends a POST request with a JSON body. Returns errors as get() does.
     core::Result<Response> post(const QString &path, const std::vector<std::pair<QString, QString>> &query,
                                 const QByteArray &body);
     /// Polls the operation until it is finished or `seconds` have passed. Returns the result of the last poll.
--- a/packages/client/src/connection.cpp
+++ b/packages/client/src/connection.cpp
@@ -68,10 +68,16 @@
     loop.exec();
     reply->deleteLater();
     const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (status == 0)
+    // Errors of HTTP come with a status, all others leave it open whether the response is whole.
+    const bool isCut = reply->error() != QNetworkReply::NoError && reply->error() < QNetworkReply::ContentAccessDenied;
+    if (status == 0 || isCut)
         return core::Error{core::ErrorCode::TargetUnreachable, "connect", m_address,
                            reply->errorString().toStdString()};
-    return Response{status, QJsonDocument::fromJson(reply->readAll()).object()};
+    const QByteArray body = reply->readAll();
+    const QJsonDocument document = QJsonDocument::fromJson(body);
+    if (!body.isEmpty() && document.isNull())
+        return core::Error{core::ErrorCode::AnswerTruncated, "read", m_address, "the response can't be read"};
+    return Response{status, document.object()};
 }
 
 QString newOperationId()
