Don't take an answer of the project's own store without a revision for an absent object

Callers saw: nothing yet. A workspace document would count as absent, a write as applied with revision 0. Cause: a missing field was read as 0 or as an empty list. Change: an object needs its revision, a list its objects, a watch the revision that it reaches.

--- a/packages/edges/src/httpobjectstore.cpp
+++ b/packages/edges/src/httpobjectstore.cpp
@@ -7,6 +7,8 @@
 #include <QJsonObject>
 #include <QUrlQuery>
 
+#include <algorithm>
+
 namespace sardinehinge::edges {
 
 using internal::platformError;
@@ -35,6 +37,19 @@
             object.value("bytes").toString().toStdString()};
 }
 
+/// Whether an object has its revision: without one it would pass for an absent object.
+bool isWhole(const QJsonValue &object)
+{
+    return object["revision"].toInteger() > 0;
+}
+
+/// Whether an answer has a list of whole objects.
+bool hasObjects(const QJsonDocument &document)
+{
+    const QJsonArray objects = document["objects"].toArray();
+    return document["objects"].isArray() && std::all_of(objects.begin(), objects.end(), isWhole);
+}
+
 std::vector<StoredObject> readObjects(const QJsonArray &array)
 {
     std::vector<StoredObject> objects;
@@ -60,7 +75,7 @@
         if (finished.status == statusNotFound)
             return done(StoredObject{name, 0, {}});
         const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !document.isObject())
+        if (finished.status != statusOk || !isWhole(document.object()))
             return done(platformError("store read", base, finished));
         done(readObject(document.object()));
     });
@@ -77,7 +92,7 @@
         if (finished.status == statusConflict)
             return done({WriteAnswer::Conflict, 0});
         const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !document.isObject())
+        if (finished.status != statusOk || !isWhole(document.object()))
             return done({WriteAnswer::Lost, 0});
         done({WriteAnswer::Applied, static_cast<std::uint64_t>(document.object().value("revision").toInteger())});
     });
@@ -91,7 +106,7 @@
     QNetworkReply *reply = m_network.get(platformRequest(urlFor(m_base, "/watch", query), platformTimeout + wait));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
         const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !document.isObject())
+        if (finished.status != statusOk || !document["upTo"].isDouble() || !hasObjects(document))
             return done(platformError("store watch", base, finished));
         const QJsonObject root = document.object();
         done(WatchReply{static_cast<std::uint64_t>(root.value("upTo").toInteger()),
@@ -105,7 +120,7 @@
     QNetworkReply *reply = m_network.get(platformRequest(url, platformTimeout));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
         const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !document.isObject())
+        if (finished.status != statusOk || !hasObjects(document))
             return done(platformError("store versions", base, finished));
         done(readObjects(document.object().value("objects").toArray()));
     });
--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -103,6 +103,22 @@
     CHECK(callsAnsweredWith(broken) == std::vector<End>(5, End::Failed));
 }
 
+TEST_CASE("An answer without what it must name isn't taken for one that names nothing")
+{
+    const std::string body = GENERATE(values<std::string>({
+        "{}",
+        "[]",
+        "",
+        R"({"error":"internal"})",
+        R"({"name":"a","revision":0,"upTo":2})",
+        R"({"name":"a","revision":"2","upTo":"2","objects":{},"version":"2","instances":{}})",
+        R"({"name":"a","revision":null,"upTo":2,"objects":[{}],"version":2})",
+    }));
+    INFO(body);
+    CHECK(callsAnsweredWith("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
+          == std::vector<End>(5, End::Failed));
+}
+
 TEST_CASE("Whole answers of the store and the instance list are read")
 {
     CHECK(callsAnsweredWith(answer("200 OK", "Content-Length: 85\r\n")) == std::vector<End>(5, End::Answered));
