End the largest unfinished response when a client's limit is reached, not the one that is being read

Callers saw: 502 for ordinary requests while a target in trouble sent bytes without end to others. Cause: all unfinished responses of a client together may hold 48 MiB (an eighth of the memory for the store and orders). Whichever response was read next beyond that ended, also if it was complete with these bytes, and the faulty ones stayed until their timeout. The account of bytes, which ends the largest, was asked later. Change: a client without an account has one of its own with that limit, and the account alone decides.

--- a/packages/http/include/sardinehinge/http/client.h
+++ b/packages/http/include/sardinehinge/http/client.h
@@ -49,7 +49,8 @@
     core::Duration connectTimeout = core::Duration(std::chrono::milliseconds(250));
     std::uint32_t headerBytes = 64 * 1024; ///< Largest accepted response header.
     std::uint64_t bodyBytes = 16ULL * 1024 * 1024; ///< Largest accepted response body.
-    std::uint64_t totalBodyBytes = 48ULL * 1024 * 1024; ///< Of the unfinished responses of all exchanges.
+    /// Of the unfinished responses of all exchanges, for a client without an account.
+    std::uint64_t totalBodyBytes = 48ULL * 1024 * 1024;
     std::size_t idleConnections = 8; ///< Connections kept open per peer.
 
     bool operator==(const ClientLimits &) const = default;
@@ -95,8 +96,9 @@
     using Callback = std::function<void(ExchangeResult)>;
     using ExchangeId = std::uint64_t;
 
-    /// `account`, unless null, counts the responses that arrive; one that finds no room there ends as
-    /// TruncatedResponse. It must outlive the context's handlers.
+    /// `account` counts the responses that arrive, and must outlive the context's handlers. Without one, the client has
+    /// an account of its own, with the limit ClientLimits::totalBodyBytes. If it is short, the largest unfinished
+    /// response ends as TruncatedResponse.
     explicit Client(boost::asio::io_context &context, ClientLimits limits = {}, ByteAccount *account = nullptr);
     ~Client();
     Client(const Client &) = delete;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -1,4 +1,5 @@
 #include <sardinehinge/http/client.h>
+#include <sardinehinge/http/resourceaccount.h>
 
 #include "addresses.h"
 #include "bodies.h"
@@ -52,20 +53,21 @@
 
 struct Client::State
 {
-    State(asio::io_context &ioContext, ClientLimits clientLimits, ByteAccount *resourceAccount)
+    State(asio::io_context &ioContext, ClientLimits clientLimits, ByteAccount *shared)
         : context(ioContext)
         , limits(clientLimits)
-        , account(resourceAccount)
+        , account(shared != nullptr
+                      ? std::shared_ptr<ByteAccount>(std::shared_ptr<void>(), shared)
+                      : std::make_shared<ResourceAccount>(core::accountLimitsOf(clientLimits.totalBodyBytes)))
         , idle(clientLimits.idleConnections)
     {
     }
 
     asio::io_context &context;
     ClientLimits limits;
-    ByteAccount *account; ///< Counts the responses that arrive; may be null.
+    std::shared_ptr<ByteAccount> account; ///< Counts the responses that arrive.
     ExchangeId nextId = 1;
     internal::IdleConnections idle;
-    std::uint64_t bodyBytes = 0; ///< Of the unfinished responses.
     std::map<ExchangeId, std::shared_ptr<Exchange>> active;
 };
 
@@ -81,6 +83,7 @@
     Exchange(std::weak_ptr<Client::State> state, Client::ExchangeId id, std::string address, const Request &request,
              const ExchangeOptions &options, Client::Callback done, std::shared_ptr<const std::string> body)
         : m_state(std::move(state))
+        , m_account(m_state.lock()->account)
         , m_id(id)
         , m_address(std::move(address))
         , m_options(options)
@@ -148,7 +151,7 @@
     /// Beyond the header: at least a line of chunked coding.
     static constexpr std::size_t readAheadBytes = 64 * 1024UL;
     static constexpr std::size_t maxReadBytes = 64 * 1024UL; ///< In one call.
-    static constexpr const char *noRoom = "no room for the response in the account of bytes";
+    static constexpr const char *noRoom = "the unfinished responses exceed their limit";
 
     void write()
     {
@@ -253,16 +256,12 @@
         const auto state = m_state.lock();
         if (!state)
             return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
-        countBody(*state, m_parser->get().body().size());
-        if (state->bodyBytes > state->limits.totalBodyBytes)
-            return finish(ExchangeOutcome::TruncatedResponse, "the unfinished responses exceed their limit");
         if (!m_parser->is_done()) {
             if (!hasRoom(*state))
                 return finish(ExchangeOutcome::TruncatedResponse, noRoom);
             return readBody();
         }
         m_share.reset();
-        countBody(*state, 0);
         responseRead();
     }
 
@@ -275,10 +274,10 @@
     bool hasRoom(Client::State &state)
     {
         const std::uint64_t arrived = m_parser->get().body().size();
-        if (state.account == nullptr || arrived == 0)
+        if (arrived == 0)
             return true;
         if (!m_share) {
-            m_share = state.account->open(core::HeldUse::ArrivingResponse, m_address, [weak = weak_from_this()] {
+            m_share = m_account->open(core::HeldUse::ArrivingResponse, m_address, [weak = weak_from_this()] {
                 const auto self = weak.lock();
                 const auto owner = self ? self->m_state.lock() : nullptr;
                 // Later: whoever needs the room is in the middle of its work.
@@ -292,12 +291,6 @@
                                missing ? *missing : state.limits.bodyBytes - std::min(state.limits.bodyBytes, arrived));
     }
 
-    /// Counts this exchange's share of the bytes in unfinished responses.
-    void countBody(Client::State &state, std::uint64_t bytes)
-    {
-        state.bodyBytes += bytes - std::exchange(m_countedBytes, bytes);
-    }
-
     /// Whether the response repeats the header of this request, and not that of another besides.
     bool isOwnResponse() const
     {
@@ -346,7 +339,6 @@
     void report(ExchangeResult result)
     {
         if (const auto state = m_state.lock()) {
-            countBody(*state, 0);
             m_share.reset();
             state->active.erase(m_id);
         }
@@ -355,6 +347,7 @@
     }
 
     std::weak_ptr<Client::State> m_state;
+    std::shared_ptr<ByteAccount> m_account; ///< The share may outlive the client.
     Client::ExchangeId m_id;
     std::string m_address;
     ExchangeOptions m_options;
@@ -362,7 +355,6 @@
     int m_discardedResponses = 0;
     bool m_isSending = false;
     bool m_hasReceived = false; ///< Bytes of the current response.
-    std::uint64_t m_countedBytes = 0; ///< In State::bodyBytes.
     std::unique_ptr<ByteShare> m_share; ///< Of the response, while it arrives.
     std::uint64_t m_notedBytes = 0; ///< Of the response, as progress.
     Client::Callback m_done;
