--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -15,12 +15,17 @@
 /// How a call to the store ended.
 enum class End { None, Failed, Missing, Conflict, Answered };
 
-void runUntil(const std::function<bool()> &condition)
+/// Qt's network access needs one before its first call.
+void startApplication()
 {
     static int argumentCount = 1;
     static char name[] = "edges_tests";
     static char *arguments[] = {name, nullptr};
     static const QCoreApplication application(argumentCount, arguments);
+}
+
+void runUntil(const std::function<bool()> &condition)
+{
     QElapsedTimer elapsed;
     elapsed.start();
     while (!condition() && elapsed.elapsed() < 5000)
@@ -37,6 +42,7 @@
 /// answer.
 std::vector<End> callsAnsweredWith(const std::string &answer)
 {
+    startApplication();
     std::vector<End> ends;
     for (int call = 0; call < 5; ++call) {
         http::tests::ScriptedPeer peer({"", true, answer, true});
