Count heads without end among the bytes that targets make the process hold

Cause: only bodies had a share of the account. A head, a line of chunked coding or a trailer could hold up to 128 KiB for each request that waits at a faulty target, which 2,900 connections of callers multiply beyond a machine's memory. Evidence: the new test failed on the code before: 64 such responses held 3.8 MB beside an account of 1 MiB that had counted nothing. Change: the client reads all of a response itself, and what isn't parsed yet counts from 4 KiB on. Measured: http_tests 66 of 66.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -151,6 +151,8 @@
     /// Beyond the header: at least a line of chunked coding.
     static constexpr std::size_t readAheadBytes = 64 * 1024UL;
     static constexpr std::size_t maxReadBytes = 64 * 1024UL; ///< In one call.
+    static constexpr std::uint64_t uncountedBytes
+        = 4096; ///< Received bytes that aren't parsed need no room up to here.
     static constexpr const char *noRoom = "the unfinished responses exceed their limit";
 
     void write()
@@ -182,7 +184,7 @@
         m_parser->header_limit(state->limits.headerBytes);
         m_parser->body_limit(state->limits.bodyBytes);
         m_hasReceived = m_buffer.size() != 0; // Behind an earlier response.
-        parseHead();
+        parse();
     }
 
     /// Discards what was read, which isn't the response to the request.
@@ -193,34 +195,57 @@
         read();
     }
 
-    /// Reads the head by itself, since the parser would unfold its lines.
-    void readHead()
+    void readSome()
     {
         const std::size_t space = beast::read_size(m_buffer, maxReadBytes);
         if (space == 0)
-            return finish(ExchangeOutcome::TruncatedResponse, "the head exceeds its limit");
+            return finish(ExchangeOutcome::TruncatedResponse, "a line or the head exceeds its limit");
         m_stream->async_read_some(m_buffer.prepare(space),
                                   [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
                                       self->m_buffer.commit(bytes);
                                       self->m_hasReceived = self->m_hasReceived || bytes != 0;
-                                      if (error)
-                                          return self->readFailed(error);
-                                      self->parseHead();
+                                      self->someRead(error);
                                   });
     }
 
-    void parseHead()
+    void someRead(ErrorCode error)
+    {
+        if (error == asio::error::eof && m_parser->got_some()) {
+            m_parser->put_eof(error); // The end of a response without a length.
+            if (!error)
+                return responseRead();
+        }
+        if (error)
+            return readFailed(error);
+        parse();
+    }
+
+    /// Hands what was received to the parser. The head is looked at first, since the parser unfolds its lines.
+    void parse()
     {
         const auto received = m_buffer.cdata();
-        if (internal::hasFoldedLine({static_cast<const char *>(received.data()), received.size()}))
+        const bool isHead = !m_parser->is_header_done();
+        if (isHead && internal::hasFoldedLine({static_cast<const char *>(received.data()), received.size()}))
             return finish(ExchangeOutcome::TruncatedResponse, "a line of the head begins with a blank");
         ErrorCode error = beast::http::error::need_more;
         if (received.size() != 0)
             m_buffer.consume(m_parser->put(received, error));
-        if (error == beast::http::error::need_more && !m_parser->is_header_done())
-            return readHead();
-        if (error)
+        if (error && error != beast::http::error::need_more)
             return readFailed(error);
+        if (isHead && m_parser->is_header_done())
+            return headRead();
+        if (m_parser->is_done())
+            return responseRead();
+        const auto state = m_state.lock();
+        if (!state)
+            return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
+        if (!hasRoom(*state))
+            return finish(ExchangeOutcome::TruncatedResponse, noRoom);
+        readSome();
+    }
+
+    void headRead()
+    {
         const auto state = m_state.lock();
         if (!state)
             return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
@@ -238,31 +263,7 @@
         m_parser->eager(true);
         if (m_parser->is_done())
             return responseRead();
-        readBody();
-    }
-
-    void readBody()
-    {
-        beast::http::async_read_some(*m_stream, m_buffer, *m_parser,
-                                     [self = shared_from_this()](ErrorCode error, std::size_t) {
-                                         if (error)
-                                             return self->readFailed(error);
-                                         self->someOfBodyRead();
-                                     });
-    }
-
-    void someOfBodyRead()
-    {
-        const auto state = m_state.lock();
-        if (!state)
-            return finish(ExchangeOutcome::TruncatedResponse, "the client was stopped");
-        if (!m_parser->is_done()) {
-            if (!hasRoom(*state))
-                return finish(ExchangeOutcome::TruncatedResponse, noRoom);
-            return readBody();
-        }
-        m_share.reset();
-        responseRead();
+        parse();
     }
 
     void readFailed(ErrorCode error)
@@ -270,10 +271,12 @@
         finish(m_hasReceived ? ExchangeOutcome::TruncatedResponse : ExchangeOutcome::NoResponse, error.message());
     }
 
-    /// Asks the account for room for what has arrived of the response. Most responses arrive whole and need none.
+    /// Asks the account for room for what has arrived of the response: the body, and what isn't parsed yet of the head,
+    /// a line of chunked coding or the trailer. Most responses arrive whole and need none.
     bool hasRoom(Client::State &state)
     {
-        const std::uint64_t arrived = m_parser->get().body().size();
+        const std::uint64_t unparsed = m_buffer.capacity() > uncountedBytes ? m_buffer.capacity() : 0;
+        const std::uint64_t arrived = m_parser->get().body().size() + unparsed;
         if (arrived == 0)
             return true;
         if (!m_share) {
@@ -285,7 +288,8 @@
                     asio::post(owner->context, [self] { self->finish(ExchangeOutcome::TruncatedResponse, noRoom); });
             });
         }
-        m_share->noteProgress(arrived - std::exchange(m_notedBytes, arrived));
+        const std::uint64_t noted = std::exchange(m_notedBytes, arrived);
+        m_share->noteProgress(arrived - std::min(noted, arrived));
         const auto missing = m_parser->content_length_remaining();
         return m_share->resize(arrived,
                                missing ? *missing : state.limits.bodyBytes - std::min(state.limits.bodyBytes, arrived));
@@ -310,6 +314,7 @@
 
     void responseRead()
     {
+        m_share.reset();
         const auto &head = m_parser->get();
         if (!isOwnResponse()) {
             constexpr const char *unrelated = "the response belongs to another request";
--- a/packages/http/tests/endlessresponse_test.cpp
+++ b/packages/http/tests/endlessresponse_test.cpp
@@ -47,3 +47,30 @@
         CHECK(end->outcome == http::ExchangeOutcome::Complete);
     }
 }
+
+TEST_CASE("Heads without end count as bytes that are held, and stay within the account")
+{
+    constexpr std::size_t headBytes = 60 * kib; // Below the limit of a head: it waits for the rest.
+    constexpr std::size_t exchanges = 64;
+    const auto [head, repeated] = GENERATE(table<std::string, std::string>({
+        {"HTTP/1.1 200 OK\r\nName: ", std::string(headBytes, 'x')},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nName: ", std::string(headBytes, 'x')},
+        {"HTTP/1.1 200 ", std::string(headBytes, 'x')},
+    }));
+    INFO(head);
+    const EndlessPeer faulty(head, repeated, false, 1);
+    const core::AccountLimits limits = core::accountLimitsOf(1024 * kib);
+    http::ResourceAccount account(limits); // Outlives the context's handlers.
+    boost::asio::io_context context;
+    http::Client client(context, {}, &account);
+    std::vector<std::optional<http::ExchangeResult>> ends(exchanges);
+    for (auto &end : ends)
+        send(client, faulty.address(), end);
+    context.run_for(1500ms);
+    const auto unfinished = static_cast<std::size_t>(
+        std::count_if(ends.begin(), ends.end(), [](const auto &end) { return !end.has_value(); }));
+    CHECK(unfinished > 0);
+    CHECK(unfinished * headBytes <= limits.bytes);
+    CHECK(account.bytes(core::HeldUse::ArrivingResponse) >= unfinished * headBytes);
+    CHECK(account.bytes(core::HeldUse::ArrivingResponse) <= limits.bytes);
+}
