Answer every request before a stopping instance ends, and refuse those that come late

Cause: a stopping process served whatever arrived until its end, 0.3 s before the platform's time is over, and closed what was left without an answer, since the route's timeout was later. Change: stopScheduleFor() says what a stop does when. Requests that come in its second half get 503 with Retry-After, and reach no target. 0.6 s before its end the rest is answered: 504 where a target has the request, else 503.

--- a/packages/core/include/sardinehinge/core/gatewayrouter.h
+++ b/packages/core/include/sardinehinge/core/gatewayrouter.h
@@ -40,6 +40,7 @@
     TimedOut,
     ResponseLost,
     Quarantined, ///< Targets that ran the request crashed.
+    Stopping, ///< This instance stops: another one serves the request.
 };
 
 // Effects.
@@ -246,6 +247,10 @@
     /// Ends a request whose caller disconnected. What hasn't been sent yet is never sent; an attempt that isn't
     /// idempotent is left running at its target.
     Effects callerLeft(RequestId id, Time now);
+    /// Requests that arrive from `time` on are refused, since the instance stops.
+    void setLastAdmission(Time time) noexcept { m_lastAdmission = time; }
+    /// Ends all requests, since the process ends: as not run, or as unknown if they were sent.
+    Effects endRequests();
     /// Ends requests that exceeded their time limits and sends queued ones. Call it periodically.
     Effects tick(Time now);
 
@@ -379,6 +384,7 @@
     void dequeue(Request &request);
     void reject(Request &request, GatewayError error, const std::string &detail, Duration retryAfter);
     void endUncertain(Request &request, GatewayError error, const std::string &detail);
+    void rejectStopping(Request &request);
     /// Whether the request may be sent again. If so, takes one retry from the budget, unless nothing was sent before.
     bool tryClaimRetry(Request &request, AttemptEnd end, bool isServerError, Time now);
     Duration retryWait(const Request &request) const;
@@ -399,6 +405,7 @@
     std::mt19937_64 m_random;
     std::size_t m_daemonCount = 1;
     std::optional<Time> m_restartedAt;
+    std::optional<Time> m_lastAdmission; ///< Of an instance that stops.
     std::optional<std::uint64_t> m_configVersion;
     RouteTable m_routes;
     std::map<std::string, WeightedRoundRobin> m_splits; ///< By route name.
--- a/packages/core/src/gatewayrouter.cpp
+++ b/packages/core/src/gatewayrouter.cpp
@@ -101,6 +101,10 @@
     Request &request = m_requests[head.id];
     request.head = head;
     request.arrived = now;
+    if (m_lastAdmission && now >= *m_lastAdmission) {
+        rejectStopping(request);
+        return takeEffects();
+    }
     if (!m_configVersion) {
         reject(request, GatewayError::NoConfiguration, "no configuration has been received yet",
                retryAfter(request, 500ms));
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gatewaycontrol.h"
 #include "gatewaytraffic.h"
 
+#include <sardinehinge/core/admission/stopschedule.h>
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/platform/platform.h>
 
@@ -16,10 +17,6 @@
 
 namespace {
 
-/// The balancer takes an instance out after two questions, a second apart; new connections are taken until then.
-constexpr std::chrono::milliseconds stopListening(2600);
-/// Left of the platform's time for a stop when the process ends by itself.
-constexpr std::chrono::milliseconds stopMargin(300);
 /// How often a stopping process looks whether it is done.
 constexpr std::chrono::milliseconds stopPoll(50);
 /// The platform may change the settings file without a signal.
@@ -52,6 +49,7 @@
     QTimer stopPoll;
     core::Time stopBegan{};
     bool hasStoppedListening = false;
+    bool hasEndedRequests = false;
 };
 
 Gateway::Gateway(std::string settingsPath)
@@ -127,17 +125,22 @@
     state.stopBegan = bootTime();
     state.events.record(Severity::Info, core::events::drainStarted,
                         "connections=" + std::to_string(state.traffic->connections()));
-    state.traffic->announceDrain();
+    const core::StopSchedule schedule = core::stopScheduleFor(state.settings.stopTime);
+    state.traffic->announceDrain(schedule.lastAdmission);
     state.control->resign();
-    QObject::connect(&state.stopPoll, &QTimer::timeout, [&state] {
+    QObject::connect(&state.stopPoll, &QTimer::timeout, [&state, schedule] {
         const core::Duration since = bootTime() - state.stopBegan;
-        if (!state.hasStoppedListening && since >= stopListening) {
+        if (!state.hasStoppedListening && since >= schedule.stopListening) {
             state.hasStoppedListening = true;
             state.traffic->drain();
         }
+        if (!state.hasEndedRequests && since >= schedule.finalAnswers) {
+            state.hasEndedRequests = true;
+            state.traffic->endRequests();
+        }
         const bool isDone
             = state.hasStoppedListening && state.traffic->connections() == 0 && state.control->hasResigned();
-        if (!isDone && since < state.settings.stopTime - stopMargin)
+        if (!isDone && since < schedule.end)
             return;
         state.events.record(Severity::Info, core::events::daemonStopped,
                             "connections=" + std::to_string(state.traffic->connections()));
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -65,6 +65,8 @@
         return "answer_lost";
     case core::GatewayError::Quarantined:
         return "quarantined";
+    case core::GatewayError::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
@@ -272,11 +274,19 @@
     });
 }
 
-void GatewayTraffic::announceDrain()
+void GatewayTraffic::announceDrain(core::Duration admits)
 {
     m_isStopping.store(true);
     m_isReady.store(false);
-    boost::asio::post(m_worker.context(), [this] { m_callers.disableKeepAlive(); });
+    boost::asio::post(m_worker.context(), [this, lastAdmission = bootTime() + admits] {
+        m_router.setLastAdmission(lastAdmission);
+        m_callers.disableKeepAlive();
+    });
+}
+
+void GatewayTraffic::endRequests()
+{
+    boost::asio::post(m_worker.context(), [this] { carryOut(m_router.endRequests()); });
 }
 
 void GatewayTraffic::drain()
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -37,10 +37,13 @@
     Ring<ToTraffic> &updates() noexcept { return m_updates; }
     /// Changed bounds. Safe to call from every thread.
     void applySettings(const edges::GatewaySettings &settings);
-    /// Not ready any more; each answer closes its connection. Safe to call from every thread.
-    void announceDrain();
+    /// Not ready any more; each answer closes its connection, and requests that come later than `admits` from now are
+    /// refused. Safe to call from every thread.
+    void announceDrain(core::Duration admits);
     /// Closes the listener and idle connections. Safe to call from every thread.
     void drain();
+    /// Answers what is still in work, since the process ends. Safe to call from every thread.
+    void endRequests();
     /// Open connections of callers. Safe to call from every thread.
     std::size_t connections() const noexcept { return m_callers.connections(); }
 
