Answer every request before the project's own daemon ends

Evidence: the new process test stop_limit failed on the code before: no status for requests at a target. Change: the same schedule over the limit; what is left is answered as unknown if a target has it, else as not run. Measured: stop_limit passes.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -8,6 +8,7 @@
 #include "platformduty.h"
 #include "routingduty.h"
 
+#include <sardinehinge/core/admission/stopschedule.h>
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/daemon/eventlog.h>
 #include <sardinehinge/daemon/metrics.h>
@@ -90,6 +91,9 @@
         const auto notice = static_cast<int>(settings.drainNotice / std::chrono::milliseconds(1));
         QTimer::singleShot(notice, QCoreApplication::instance(), [this] {
             callers.drain();
+            const core::StopSchedule schedule = core::stopScheduleFor(settings.drainLimit);
+            routing.setLastAdmission(bootTime() + schedule.lastAdmission);
+            m_finalAnswers = bootTime() + schedule.finalAnswers;
             m_drainEnds = bootTime() + settings.drainLimit;
             awaitLastRequest();
         });
@@ -149,6 +153,10 @@
             QCoreApplication::quit();
             return;
         }
+        if (!m_hasEndedRequests && bootTime() >= m_finalAnswers) {
+            m_hasEndedRequests = true;
+            routing.endRequests();
+        }
         QTimer::singleShot(drainPollMs, QCoreApplication::instance(), [this] { awaitLastRequest(); });
     }
 
@@ -177,6 +185,8 @@
     }
 
     bool m_isDraining = false;
+    core::Time m_finalAnswers{};
+    bool m_hasEndedRequests = false;
     core::Time m_drainEnds{};
 };
 
--- a/packages/daemon/src/routingduty.cpp
+++ b/packages/daemon/src/routingduty.cpp
@@ -138,6 +138,10 @@
     exchange.arrived = bootTime();
     exchange.message = std::make_shared<const http::Request>(std::move(request.message));
     Exchange &kept = m_exchanges.insert_or_assign(request.exchange, std::move(exchange)).first->second;
+    if (m_lastAdmission && bootTime() >= *m_lastAdmission) {
+        m_metrics.requestsNotRun.Increment();
+        return finishExchange(kept, errorResponse(stopError(), FailureOutcome::NotRun, kept.requestId));
+    }
     if (fault) {
         m_metrics.requestsNotRun.Increment();
         return finishExchange(kept, errorResponse(*fault, FailureOutcome::NotRun, kept.requestId));
@@ -368,6 +372,45 @@
     endParts(parts); // The other parts of a range read that failed are of no use any more.
 }
 
+void RoutingDuty::setLastAdmission(core::Time time)
+{
+    boost::asio::post(m_worker.context(), [this, time] { m_lastAdmission = time; });
+}
+
+void RoutingDuty::endRequests()
+{
+    boost::asio::post(m_worker.context(), [this] { endAll(); });
+}
+
+void RoutingDuty::endAll()
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, exchange] : m_exchanges)
+        ids.push_back(id);
+    for (const std::uint64_t id : ids) {
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end())
+            continue;
+        Exchange &exchange = found->second;
+        const bool wasSent = std::any_of(exchange.parts.begin(), exchange.parts.end(), [this](core::RequestId part) {
+            const auto sent = m_parts.find(part);
+            return sent != m_parts.end() && !sent->second.traffic.empty();
+        });
+        (wasSent ? m_metrics.requestsUnknown : m_metrics.requestsNotRun).Increment();
+        if (wasSent)
+            m_events.record(Severity::Warning, core::events::requestOutcomeUnknown,
+                            exchange.requestId + ": this daemon ends");
+        finishExchange(
+            exchange,
+            errorResponse(stopError(), wasSent ? FailureOutcome::Unknown : FailureOutcome::NotRun, exchange.requestId));
+    }
+}
+
+core::Error RoutingDuty::stopError() const
+{
+    return {core::ErrorCode::ShuttingDown, "stop", m_self.id, "this daemon stops"};
+}
+
 /// Forgets parts that nobody waits for; those under way at a target are cancelled there.
 void RoutingDuty::endParts(const std::vector<core::RequestId> &parts)
 {
--- a/packages/daemon/src/routingduty.h
+++ b/packages/daemon/src/routingduty.h
@@ -28,6 +28,11 @@
 
     void start();
     void stop() { m_worker.stop(); }
+    /// Requests that arrive from `time` on are refused, since the daemon stops. Safe to call from every thread.
+    void setLastAdmission(core::Time time);
+    /// Answers all requests, since the process ends: as not run, or as unknown if they were sent. Safe to call from
+    /// every thread.
+    void endRequests();
 
     Ring<ToRouting> &requests() noexcept { return m_requests; }
     Ring<ControlToRouting> &updates() noexcept { return m_updates; }
@@ -58,6 +63,8 @@
         http::Response answer; ///< Of the latest attempt.
     };
 
+    void endAll();
+    core::Error stopError() const;
     void take(CallerRequest request);
     void take(const CallerGone &gone);
     void take(WorkspaceUpdate update);
@@ -100,6 +107,7 @@
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::unordered_map<core::RequestId, Part> m_parts;
     core::RequestId m_nextPart = 1;
+    std::optional<core::Time> m_lastAdmission; ///< Of a daemon that stops.
     core::Time m_lastLoadReport{};
     core::Time m_lastActive{};
 };
