Bound the answers of the project's own store and instance list

Callers saw: nothing yet. An answer without end filled the daemon's memory. Cause: Qt keeps a whole answer, and its timeout begins again with each byte. Change: an answer beyond 64 MiB ends as lost. A head without end ends at the timeout, as before.

--- a/packages/edges/include/sardinehinge/edges/httpadapters.h
+++ b/packages/edges/include/sardinehinge/edges/httpadapters.h
@@ -14,6 +14,9 @@
 /// Longest wait for an answer of the platform beyond the time that a call asks it to wait.
 constexpr core::Duration platformTimeout = std::chrono::milliseconds(1500);
 
+/// Largest accepted answer of the platform: a longer one counts as lost.
+constexpr std::int64_t maxPlatformAnswerBytes = 64LL * 1024 * 1024;
+
 /// The object store over HTTP, by Qt's network access. That one may send a request twice when a connection ends
 /// without an answer: conditional writes carry an attempt id for this, and DocumentStore resolves it.
 /// Lives on a thread with a Qt event loop.
--- a/packages/edges/src/replies.cpp
+++ b/packages/edges/src/replies.cpp
@@ -1,5 +1,7 @@
 #include "replies.h"
 
+#include <sardinehinge/edges/httpadapters.h>
+
 #include <algorithm>
 #include <string_view>
 
@@ -38,6 +40,13 @@
 
 void whenFinished(QNetworkReply *reply, std::function<void(const PlatformReply &)> done)
 {
+    // The timeout of a transfer begins again with each byte, so only this ends an answer that goes on. Qt's thread
+    // reads ahead of the signal, up to the size of its buffer.
+    reply->setReadBufferSize(maxPlatformAnswerBytes + 1);
+    QObject::connect(reply, &QNetworkReply::downloadProgress, reply, [reply](qint64 received, qint64) {
+        if (received > maxPlatformAnswerBytes)
+            reply->abort();
+    });
     QObject::connect(reply, &QNetworkReply::finished, reply, [reply, done = std::move(done)] {
         const QVariant status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
         PlatformReply finished{status.toInt(), reply->readAll(), reply->errorString()};
--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -134,3 +134,28 @@
     CHECK(callsAnsweredWith(answer("404 Not Found", "Content-Length: 85\r\n")).at(0) == End::Missing);
     CHECK(callsAnsweredWith(answer("412 Precondition Failed", "Content-Length: 85\r\n")).at(1) == End::Conflict);
 }
+
+TEST_CASE("An answer without end doesn't fill the memory of the process")
+{
+    const auto [head, repeated] = GENERATE(table<std::string, std::string>({
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nchunk\r\n"},
+        {"HTTP/1.1 404 Not Found\r\n\r\n", "x"},
+        {"HTTP/1.1 200 OK\r\nName: ", "x"},
+    }));
+    // A head without end comes slowly here: Qt bounds it by nothing but time.
+    const bool isSlow = head.ends_with(": ");
+    INFO(head);
+    startApplication();
+    http::tests::EndlessPeer peer(head, repeated, isSlow);
+    HttpObjectStore store(QUrl(QString::fromStdString("http://" + peer.address())));
+    End end = End::None;
+    store.read("a", [&](const core::Result<StoredObject> &result) { end = endOf(result); });
+    runUntil([&] { return end != End::None; });
+    CHECK(end == End::Failed);
+    QElapsedTimer after;
+    after.start();
+    runUntil([&] { return after.elapsed() > 500; });
+    constexpr std::size_t kernelBuffers = 12UL * 1024 * 1024;
+    CHECK(peer.bytesSent() < 2 * maxPlatformAnswerBytes + kernelBuffers);
+}
