Admit no request after the balancer's last callers, however long a stop may take

Cause: with a longer time for a stop, its first half admitted requests that nobody sends by the balancer any more, and that had less time to end. Change: requests are admitted for 3 s, or half of a shorter time. Measured: the tests of the stop and of broken answers pass; the schedule for 6 s is as before.

--- a/packages/core/include/sardinehinge/core/admission/stopschedule.h
+++ b/packages/core/include/sardinehinge/core/admission/stopschedule.h
@@ -9,8 +9,8 @@
 /// What an instance that stops does when, counted from the signal.
 ///
 /// Designed for requests that come late in a planned stop, or wait for a target that never answers: none of them may be
-/// cut without an answer. One that comes in the first half of the time is served, since the balancer still sends
-/// callers; a later one might be cut at its target, and other instances have all the time that it needs.
+/// cut without an answer. Requests are served while the balancer still sends callers, but not in the second half of the
+/// time: a later one might be cut at its target, and other instances have all the time that it needs.
 struct StopSchedule
 {
     Duration stopListening{}; ///< The balancer sends no new connections any more.
@@ -26,11 +26,13 @@
 {
     using namespace std::chrono_literals;
     constexpr Duration balancerTime = 2600ms; // Two questions, a second apart.
+    constexpr Duration firstRequestTime = 400ms; // For callers that connected last.
     constexpr Duration writeTime = 300ms; // For the final answers, also on a part of a core.
     constexpr Duration margin = 300ms; // Before the platform ends the process.
     const Duration half = stopTime / 2;
     const Duration end = std::max(stopTime - margin, half);
-    return {std::min(balancerTime, half), half, std::max(end - writeTime, half), end};
+    return {std::min(balancerTime, half), std::min(balancerTime + firstRequestTime, half),
+            std::max(end - writeTime, half), end};
 }
 
 } // namespace sardinehinge::core
--- a/packages/core/tests/gatewaystop_test.cpp
+++ b/packages/core/tests/gatewaystop_test.cpp
@@ -10,7 +10,7 @@
 {
     const auto [stopTime, schedule] = GENERATE(table<Duration, StopSchedule>({
         {6s, {2600ms, 3s, 5400ms, 5700ms}},
-        {10s, {2600ms, 5s, 9400ms, 9700ms}},
+        {10s, {2600ms, 3s, 9400ms, 9700ms}},
         {2s, {1s, 1s, 1400ms, 1700ms}},
         {400ms, {200ms, 200ms, 200ms, 200ms}},
         {0s, {0s, 0s, 0s, 0s}},
