--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -151,8 +151,8 @@
     /// Beyond the header: at least a line of chunked coding.
     static constexpr std::size_t readAheadBytes = 64 * 1024UL;
     static constexpr std::size_t maxReadBytes = 64 * 1024UL; ///< In one call.
-    static constexpr std::uint64_t uncountedBytes
-        = 4096; ///< Received bytes that aren't parsed need no room up to here.
+    /// So many received bytes that aren't parsed yet need no room.
+    static constexpr std::uint64_t uncountedBytes = 4096;
     static constexpr const char *noRoom = "the unfinished responses exceed their limit";
 
     void write()
@@ -195,6 +195,7 @@
         read();
     }
 
+    /// Reads what the connection has, up to the limits of the buffer.
     void readSome()
     {
         const std::size_t space = beast::read_size(m_buffer, maxReadBytes);
--- a/packages/http/tests/brokenresponse_test.cpp
+++ b/packages/http/tests/brokenresponse_test.cpp
@@ -88,6 +88,44 @@
     CHECK(end.response.headers.empty());
 }
 
+TEST_CASE("A response is judged alike if it comes byte by byte")
+{
+    const auto [response, outcome] = GENERATE(table<std::string, http::ExchangeOutcome>({
+        {"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", http::ExchangeOutcome::Complete},
+        {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n",
+         http::ExchangeOutcome::Complete},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+         http::ExchangeOutcome::Complete},
+        {"HTTP/1.1 200 OK\r\nId: mine\r\nA: b\r\n Content-Length: 9\r\n\r\nok",
+         http::ExchangeOutcome::TruncatedResponse},
+        {"HTTP/1.1 200 OK\r\n Id: mine\r\nContent-Length: 2\r\n\r\nok", http::ExchangeOutcome::TruncatedResponse},
+        {"HTTP/1.1 000 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", http::ExchangeOutcome::TruncatedResponse},
+    }));
+    INFO(response);
+    ThreadedPeer peer([&response = response](tcp::socket &socket, int) {
+        boost::system::error_code error;
+        char buffer[4096];
+        socket.set_option(tcp::no_delay(true), error);
+        socket.read_some(boost::asio::buffer(buffer), error);
+        for (const char byte : response) {
+            boost::asio::write(socket, boost::asio::buffer(&byte, 1), error);
+            std::this_thread::sleep_for(std::chrono::microseconds(100));
+        }
+        socket.close(error);
+    });
+    boost::asio::io_context context;
+    http::Client client(context);
+    http::ExchangeOptions options;
+    options.echoedHeader.emplace("Id", "mine");
+    options.acceptsCloseDelimited = true;
+    http::ExchangeResult end;
+    client.send(peer.address(), {"GET", "/", {{"Id", "mine"}}, {}, {}}, options,
+                [&](http::ExchangeResult got) { end = std::move(got); });
+    context.run_for(std::chrono::seconds(5));
+    CHECK(end.outcome == outcome);
+    CHECK(end.response.body == (outcome == http::ExchangeOutcome::Complete ? "ok" : ""));
+}
+
 TEST_CASE("Interim responses don't pass for the response that follows them")
 {
     struct Case
