--- a/packages/edges/src/replies.cpp
+++ b/packages/edges/src/replies.cpp
@@ -49,12 +49,14 @@
     });
     QObject::connect(reply, &QNetworkReply::finished, reply, [reply, done = std::move(done)] {
         const QVariant status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
-        PlatformReply finished{status.toInt(), reply->readAll(), reply->errorString()};
+        // An aborted reply is closed.
+        const QByteArray body = reply->isOpen() ? reply->readAll() : QByteArray();
+        PlatformReply finished{status.toInt(), body, reply->errorString()};
         // A status line can arrive before the connection is lost; only a finished body counts as an answer.
         const bool isHttpError = reply->error() >= QNetworkReply::ContentAccessDenied;
         if (reply->error() != QNetworkReply::NoError && !isHttpError) {
             finished.status = 0;
-        } else if (const char *fault = faultIn(*reply, finished.body)) {
+        } else if (const char *fault = faultIn(*reply, body)) {
             finished.status = 0;
             finished.fault = fault;
         }
