Encode the name after which the next page of a list begins

What callers saw: after a restart of all processes almost no request was served while one odd entry stood in the list of targets, at the end of a page that wasn't the last. Cause: the name went into the query as it stood. A name with & or # lost its end, + became a blank, %26 became &, and a blank made the request line unreadable. The store then answered with the page before or not at all; the list never ended, and no daemon sends requests before it has a whole list of targets. The stand-in store had listed all entries in one page, so no test had read a second. Change: encodePercent() for any bytes, used for both lists; the stand-in store lists in pages, decodes names and shows entries of other writers as they stand. Why it works: the encoded name holds letters, digits, -, _, ~, . and % only, and decodes to the same bytes, for all 256 byte values (message_test).

--- a/packages/http/include/sardinehinge/http/message.h
+++ b/packages/http/include/sardinehinge/http/message.h
@@ -46,6 +46,13 @@
 /// Returns the path of a request target, without its query.
 std::string_view pathOf(std::string_view target) noexcept;
 
+/// Encodes `text` as one segment of a path or one value of a query (RFC 3986, section 2.1): all bytes but letters,
+/// digits, `-`, `_`, `~` and `.`. Points are encoded too if `text` is `.` or `..`, which a path would resolve.
+std::string encodePercent(std::string_view text);
+
+/// Decodes a segment of a path. A percent sign without two digits stays as it is, as does a plus sign.
+std::string decodePercent(std::string_view text);
+
 /// Returns the percent-decoded value of the first query parameter with this name, or nullopt if it is missing.
 std::optional<std::string> queryValue(std::string_view target, std::string_view name);
 
