Read a list past entries that can't be used, in any order of names

What callers would see: too few targets or none, while a list isn't read to its end; or a sound target out of use since another writer's entry shows its name. Cause: the next page began after the greatest name of a page, by the order of bytes. A store that sorts otherwise then shows nothing greater, and the list counted as broken. An unreadable entry's name was used as well, though the store may sort it elsewhere. An unreadable entry also removed the sound one whose name it shows. Change: the next page begins after the last new entry in use, else after the last new name; each page must bring a new one, so that reading ends. Unusable entries are handed on at the end of a list, without those whose name an entry in use has: a list that wasn't read whole ends no target.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -9,7 +9,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -198,7 +200,7 @@
             const auto progress = m_list.take(page, bootTime());
             if (progress == Progress::OtherEra)
                 return listAgain();
-            if (!take(page))
+            if (!takeUsed(page))
                 return;
             if (progress == Progress::Broken)
                 return failBroken();
@@ -206,9 +208,23 @@
         });
     }
 
+    /// Hands on the entries of a list's page that can be used. The others wait for the end of the list: until then it
+    /// isn't known whether another entry has their name.
+    bool takeUsed(const Page &page)
+    {
+        Page used;
+        std::copy_if(page.entries.begin(), page.entries.end(), std::back_inserter(used.entries),
+                     [](const auto &entry) { return entry.value.has_value(); });
+        return take(used);
+    }
+
     /// Goes on from the list's first page: what changed while the others were read is not known yet.
     void listed()
     {
+        Page unusable;
+        unusable.entries = m_list.unusable();
+        if (!take(unusable))
+            return;
         const std::uint64_t revision = m_list.revision();
         const std::uint64_t before = m_position.era == m_list.era() ? m_position.relistedAt : 0;
         m_position = {revision, revision, m_isHistoryLost ? revision : before, m_list.era()};
@@ -226,7 +242,7 @@
     void failBroken()
     {
         Page failed;
-        failed.detail = "a page of a list says that more follows, but not where";
+        failed.detail = "a page of a list says that more follows, but names nothing new";
         fail(failed);
     }
 
--- a/packages/daemon/src/pagedlist.h
+++ b/packages/daemon/src/pagedlist.h
@@ -3,6 +3,8 @@
 #include <sardinehinge/edges/gatewayedges.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,10 @@
 /// changes behind the reader, between two pages, is on none of them. Who goes on from the first page's revision is
 /// shown those changes, and again some that the later pages contain. That is harmless, as they come in their order and
 /// the last one of a name decides.
+///
+/// The order of names is the store's and needn't be that of their bytes. The next page begins after an entry in use
+/// where there is one: the name of an unreadable entry may not be the one that the store sorts it by. What was on the
+/// page behind that entry is then shown again.
 template<typename Value>
 class PagedList
 {
@@ -22,7 +28,7 @@
         Continues, ///< Read the page after after().
         Complete,
         OtherEra, ///< The page is of another era than the ones before: begin again.
-        Broken, ///< The page is a failed call, or says that more follows but not where.
+        Broken, ///< The page is a failed call, or says that more follows and names nothing new.
     };
 
     /// Forgets all pages: the next one is the first.
@@ -42,22 +48,41 @@
         ++m_pages;
         m_revision = std::min(m_revision, page.revision);
         m_latest = std::max(m_latest, page.revision);
-        std::string last = m_after;
+        std::string lastUsed;
+        std::string lastNamed;
         for (const auto &entry : page.entries) {
-            m_names.push_back(entry.name);
-            last = std::max(last, entry.name);
+            const bool isNew = m_known.insert(entry.name).second;
+            const bool isNewlyUsed = entry.value && m_used.insert(entry.name).second;
+            if (isNew)
+                m_names.push_back(entry.name);
+            if (!entry.value)
+                m_unusable.push_back(entry);
+            if (isNewlyUsed && !entry.name.empty())
+                lastUsed = entry.name;
+            else if (isNew && !entry.name.empty())
+                lastNamed = entry.name;
         }
         if (!page.hasMore)
             return Progress::Complete;
-        if (last == m_after)
+        // Each page brings a new name, so that reading ends.
+        const std::string &next = lastUsed.empty() ? lastNamed : lastUsed;
+        if (next.empty())
             return Progress::Broken;
-        m_after = last;
+        m_after = next;
         return Progress::Continues;
     }
 
     /// The name after which the next page begins; empty: the first page.
     const std::string &after() const noexcept { return m_after; }
     const std::vector<std::string> &names() const noexcept { return m_names; }
+    /// The entries that can't be used, without those whose name is also that of an entry in use.
+    std::vector<edges::FeedEntry<Value>> unusable() const
+    {
+        std::vector<edges::FeedEntry<Value>> entries;
+        std::copy_if(m_unusable.begin(), m_unusable.end(), std::back_inserter(entries),
+                     [this](const auto &entry) { return !m_used.contains(entry.name); });
+        return entries;
+    }
     /// The revision up to which the list is complete.
     std::uint64_t revision() const noexcept { return m_revision; }
     /// The latest revision of a page: changes up to it may be missing if it is above revision().
@@ -69,6 +94,9 @@
 private:
     std::string m_after;
     std::vector<std::string> m_names;
+    std::set<std::string> m_known; ///< The same names.
+    std::set<std::string> m_used; ///< Those of entries in use.
+    std::vector<edges::FeedEntry<Value>> m_unusable;
     std::uint64_t m_revision = 0;
     std::uint64_t m_latest = 0;
     core::StoreEra m_era = 0;
--- a/packages/daemon/tests/pagedlist_test.cpp
+++ b/packages/daemon/tests/pagedlist_test.cpp
@@ -318,6 +318,31 @@
     CHECK(copy.known() == copy.store.objects);
 }
 
+TEST_CASE("The next page begins after the last new name, if possible that of an entry in use")
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<edges::FeedEntry<int>> entries;
+        std::string after;
+    };
+    const auto [name, entries, after] = GENERATE(values<Case>({
+        {"the last is in use", {{"b", 1, {}}, {"c", 1, {}}}, "c"},
+        {"in another order than that of bytes", {{"c", 1, {}}, {"B", 1, {}}}, "B"},
+        {"the last can't be read", {{"b", 1, {}}, {"c", std::nullopt, "odd"}}, "b"},
+        {"none can be read", {{"b", std::nullopt, "odd"}, {"c", std::nullopt, "odd"}}, "c"},
+        {"the last has no name", {{"b", 1, {}}, {"", 1, {}}}, "b"},
+        {"the last was on the page before", {{"b", 1, {}}, {"a", 1, {}}}, "b"},
+        {"the only one in use was on the page before", {{"b", std::nullopt, "odd"}, {"a", 1, {}}}, "b"},
+    }));
+    INFO(name);
+    daemon::PagedList<int> list;
+    list.take({edges::StoreOutcome::Ok, {{"a", 1, {}}}, 7, true, {}, 1}, 1ms);
+    CHECK(list.take({edges::StoreOutcome::Ok, entries, 7, true, {}, 1}, 1ms)
+          == daemon::PagedList<int>::Progress::Continues);
+    CHECK(list.after() == after);
+}
+
 TEST_CASE("Pages are joined as their outcomes, eras and names say")
 {
     using List = daemon::PagedList<int>;
@@ -367,6 +392,16 @@
          {Progress::Continues, Progress::Broken},
          7,
          7},
+        {"a store that ignores the case of names",
+         {page({"a", "B"}, 7, true), page({"C", "D"}, 7, true), page({"e"}, 7, false)},
+         {Progress::Continues, Progress::Continues, Progress::Complete},
+         7,
+         7},
+        {"a page goes backwards",
+         {page({"a", "b"}, 7, true), page({"c"}, 7, true), page({"b"}, 7, true)},
+         {Progress::Continues, Progress::Continues, Progress::Broken},
+         7,
+         7},
         {"another era",
          {page({"a"}, 7, true), page({"b"}, 3, false, 2)},
          {Progress::Continues, Progress::OtherEra},
