Escape names that others chose in log lines

What callers and operators would see: forged lines or fields in the log (another event, another daemon), lines that no reader takes, and lines of some kilobytes, from one entry's name or a request's id. Cause: names of entries, services, domains and requests were written as they stood.

--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -1,5 +1,6 @@
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 #include <functional>
@@ -74,7 +75,7 @@
 
 void RangeControl::logEvent(std::uint32_t event, std::string detail)
 {
-    m_effects.emplace_back(ControlLogEntry{event, m_service + ": " + std::move(detail)});
+    m_effects.emplace_back(ControlLogEntry{event, logValue(m_service) + ": " + std::move(detail)});
 }
 
 RangeOwners RangeControl::owners() const
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -1,5 +1,6 @@
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/rangecontrol.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 #include <utility>
@@ -101,7 +102,7 @@
             || (assignment.phase != Phase::Held && assignment.phase != Phase::Granting))
             continue;
         logEvent(events::keyRefused,
-                 event.target + " refused key " + std::to_string(event.key) + "; granting its range again");
+                 logValue(event.target) + " refused key " + std::to_string(event.key) + "; granting its range again");
         assignment.nextOrderAt = m_now;
     }
 }
@@ -199,8 +200,8 @@
     if (const std::string next = addressOf(destination); !next.empty())
         openLink(next);
     logEvent(events::rangeReleasing,
-             text(assignment.owned.range) + " " + assignment.owned.owner.id + " to "
-                 + (destination.empty() ? std::string("a target that is not chosen yet") : destination));
+             text(assignment.owned.range) + " " + logValue(assignment.owned.owner.id) + " to "
+                 + (destination.empty() ? std::string("a target that is not chosen yet") : logValue(destination)));
     m_effects.emplace_back(RangeOrder{id,
                                       true,
                                       assignment.owned.owner.id,
@@ -220,15 +221,16 @@
     const auto remainingMs
         = std::chrono::duration_cast<std::chrono::milliseconds>(assignment.leaseExpiry - m_now).count();
     logEvent(events::rangeLeaseExpiring,
-             text(assignment.owned.range) + " " + assignment.owned.owner.id + ": " + why + ", the lease expires within "
-                 + std::to_string(remainingMs) + " ms");
+             text(assignment.owned.range) + " " + logValue(assignment.owned.owner.id) + ": " + why
+                 + ", the lease expires within " + std::to_string(remainingMs) + " ms");
 }
 
 void RangeControl::markFree(RangeAssignment &assignment, std::string handover)
 {
     assignment.phase = Phase::Free;
     assignment.handoverToken = std::move(handover);
-    logEvent(events::rangeFree, text(assignment.owned.range) + " no longer held by " + assignment.owned.owner.id);
+    logEvent(events::rangeFree,
+             text(assignment.owned.range) + " no longer held by " + logValue(assignment.owned.owner.id));
 }
 
 void RangeControl::on(const OrderEnded &event)
@@ -267,7 +269,7 @@
     if (end == OrderEndKind::Accepted) {
         if (assignment.phase != Phase::Held)
             logEvent(events::rangeGranted,
-                     text(assignment.owned.range) + " to " + assignment.owned.owner.id + " fence "
+                     text(assignment.owned.range) + " to " + logValue(assignment.owned.owner.id) + " fence "
                          + std::to_string(assignment.owned.fence));
         assignment.phase = Phase::Held;
         assignment.isInherited = false;
--- a/packages/core/src/text.cpp
+++ b/packages/core/src/text.cpp
@@ -116,6 +116,8 @@
 
 std::string logLine(std::string_view text)
 {
+    if (std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c < 0x7f; }))
+        return std::string(text);
     std::string line;
     line.reserve(text.size());
     appendReadable(line, text, {});
--- a/packages/daemon/include/sardinehinge/daemon/eventlog.h
+++ b/packages/daemon/include/sardinehinge/daemon/eventlog.h
@@ -32,7 +32,9 @@
 
     explicit EventLog(std::size_t kept = keptEntries);
 
-    void record(Severity severity, std::uint32_t event, const std::string &detail);
+    /// Control characters and bytes that aren't UTF-8 in `text` are escaped: the event stays one line. Names that
+    /// others chose are to be passed through core::logValue(), or they may look like further fields.
+    void record(Severity severity, std::uint32_t event, const std::string &text);
     /// The stamp for an outgoing message; it counts as an event.
     core::HybridTime stamp();
     /// Takes in the stamp of a message that arrived.
--- a/packages/daemon/src/eventlog.cpp
+++ b/packages/daemon/src/eventlog.cpp
@@ -1,3 +1,4 @@
+#include <sardinehinge/core/text.h>
 #include <sardinehinge/daemon/eventlog.h>
 
 #include <boost/log/core.hpp>
@@ -48,8 +49,9 @@
 {
 }
 
-void EventLog::record(Severity severity, std::uint32_t event, const std::string &detail)
+void EventLog::record(Severity severity, std::uint32_t event, const std::string &text)
 {
+    const std::string detail = core::logLine(text);
     {
         const std::lock_guard lock(m_mutex);
         m_entries.push_back({m_clock.now(wallMicroseconds()), event, detail});
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include <sardinehinge/core/admission/stopschedule.h>
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 #include <sardinehinge/platform/platform.h>
 
 #include <QCoreApplication>
@@ -93,8 +94,9 @@
     if (auto started = state.control->start(); core::errorIn(started) != nullptr)
         return started;
     state.events.record(Severity::Info, core::events::daemonStarted,
-                        "callers=" + state.settings.callerAddress + " peers=" + state.settings.peerAddress + " store="
-                            + state.settings.storeAddress + " failure_domain=" + state.settings.failureDomain);
+                        "callers=" + state.settings.callerAddress + " peers=" + state.settings.peerAddress
+                            + " store=" + state.settings.storeAddress
+                            + " failure_domain=" + core::logValue(state.settings.failureDomain));
     QObject::connect(&state.poll, &QTimer::timeout, [this] { reload(); });
     state.poll.start(settingsPoll);
     return core::Done{};
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -3,6 +3,7 @@
 #include "udpaddress.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 
@@ -107,7 +108,7 @@
     , m_permitTimer(m_worker.context())
 {
     m_worker.onError([this](const std::string &detail) {
-        m_events.record(Severity::Error, core::events::taskFailed, "duty=control detail=\"" + detail + "\"");
+        m_events.record(Severity::Error, core::events::taskFailed, "duty=control detail=" + core::logValue(detail));
     });
     m_metrics.addGauge("sardinehinge_quarantined_requests", "Requests that no target is sent, by fingerprint", {},
                        [this] { return static_cast<double>(m_quarantineCount.load()); });
@@ -179,8 +180,8 @@
 {
     if (!entry.value) {
         m_events.record(Severity::Warning, core::events::gatewayConfigRefused,
-                        "object=" + entry.name + " reason=\"" + entry.fault
-                            + "\" in_force=" + std::to_string(m_configVersion));
+                        "object=" + core::logValue(entry.name) + " reason=" + core::logValue(entry.fault)
+                            + " in_force=" + std::to_string(m_configVersion));
         return;
     }
     if (entry.value->version <= m_configVersion)
@@ -191,8 +192,8 @@
     const auto &faults = entry.value->faults;
     for (std::size_t index = 0; index < std::min(faults.size(), maxLoggedFaults); ++index)
         m_events.record(Severity::Warning, core::events::gatewayConfigPartRefused,
-                        "object=" + entry.name + " version=" + std::to_string(m_configVersion)
-                            + " faults=" + std::to_string(faults.size()) + " reason=\"" + faults[index] + "\"");
+                        "object=" + core::logValue(entry.name) + " version=" + std::to_string(m_configVersion)
+                            + " faults=" + std::to_string(faults.size()) + " reason=" + core::logValue(faults[index]));
     for (const core::BackendService &service : entry.value->services) {
         if (service.isSharded)
             serviceOf(service.name).longestRequest = core::longestRequestTime(*entry.value, service.name);
@@ -207,14 +208,16 @@
         const core::RegisteredTarget *known = m_registry.find(entry.name);
         const bool isNews = known == nullptr || known->identity != entry.value->identity
             || known->isDraining != entry.value->isDraining;
-        const std::string detail = "target=" + entry.name + " service=" + entry.value->service
-            + " address=" + entry.value->address + " born=" + std::to_string(entry.value->identity.incarnation);
+        const std::string detail = "target=" + core::logValue(entry.name)
+            + " service=" + core::logValue(entry.value->service) + " address=" + core::logValue(entry.value->address)
+            + " born=" + std::to_string(entry.value->identity.incarnation);
         const bool isNewlyCold = entry.value->warmupLeft > core::Duration(0)
             && (known == nullptr || known->identity != entry.value->identity || known->warmupLeft == core::Duration(0));
         if (isNewlyCold && m_coldTargets.permitRate(entry.value->service) > 0)
             m_events.record(
                 Severity::Info, core::events::targetCold,
-                "target=" + entry.name + " service=" + entry.value->service + " left_ms="
+                "target=" + core::logValue(entry.name) + " service=" + core::logValue(entry.value->service)
+                    + " left_ms="
                     + std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(entry.value->warmupLeft).count())
                     + " rate=" + std::to_string(m_coldTargets.permitRate(entry.value->service)));
@@ -228,7 +231,7 @@
     } else {
         if (!entry.fault.empty())
             m_events.record(Severity::Warning, core::events::targetEntryRefused,
-                            "target=" + entry.name + " reason=\"" + entry.fault + "\"");
+                            "target=" + core::logValue(entry.name) + " reason=" + core::logValue(entry.fault));
         m_registry.remove(entry.name, now, m_targetFeed.completeAt());
     }
     // Once for all entries of a response: each publication costs time for every target.
@@ -253,7 +256,7 @@
     m_isReachable = isReachable;
     m_events.record(isReachable ? Severity::Info : Severity::Warning,
                     isReachable ? core::events::platformReachable : core::events::platformUnreachable,
-                    "detail=\"" + detail + "\"");
+                    "detail=" + core::logValue(detail));
     return isReachable;
 }
 
@@ -296,7 +299,7 @@
 {
     const core::Time now = bootTime();
     for (const std::string &id : m_registry.expire(now))
-        m_events.record(Severity::Info, core::events::targetRemoved, "target=" + id);
+        m_events.record(Severity::Info, core::events::targetRemoved, "target=" + core::logValue(id));
     const bool hasMarkChanged = takeEvacuationChanges(now) || std::exchange(m_hasColdChanged, false);
     if (!m_registry.takeChanged() && !hasMarkChanged)
         return;
@@ -469,8 +472,8 @@
     service.owners = owners;
     service.controller = from;
     m_events.record(Severity::Info, core::events::ownersAnnounced,
-                    "service=" + owners.service + " from=" + from + " term=" + std::to_string(owners.term)
-                        + " sequence=" + std::to_string(owners.sequence)
+                    "service=" + core::logValue(owners.service) + " from=" + core::logValue(from)
+                        + " term=" + std::to_string(owners.term) + " sequence=" + std::to_string(owners.sequence)
                         + " ranges=" + std::to_string(owners.ranges.size()));
     reportEvacuated(owners.service);
     m_tellTraffic(GatewayOwnersUpdate{owners});
--- a/packages/daemon/src/gatewaycontrol_evacuations.cpp
+++ b/packages/daemon/src/gatewaycontrol_evacuations.cpp
@@ -1,6 +1,7 @@
 #include "gatewaycontrol.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 
@@ -93,7 +94,7 @@
             = std::count_if(targets.begin(), targets.end(), [&domain = domain](const core::RegisteredTarget &target) {
                   return target.failureDomain == domain;
               });
-        std::string detail = "domain=" + domain + " targets=" + std::to_string(count);
+        std::string detail = "domain=" + core::logValue(domain) + " targets=" + std::to_string(count);
         if (m_evacuationFeed)
             detail += " position=" + std::to_string(m_evacuationFeed->position().completeTo)
                 + " complete_ago_ms=" + std::to_string(milliseconds(now - m_evacuationFeed->completeAt()));
@@ -124,7 +125,7 @@
     if (!service.evacuatingKeys.empty())
         return;
     m_events.record(Severity::Info, core::events::evacuationComplete,
-                    "service=" + name + " sequence=" + std::to_string(service.owners.sequence)
+                    "service=" + core::logValue(name) + " sequence=" + std::to_string(service.owners.sequence)
                         + " after_ms=" + std::to_string(milliseconds(now - service.evacuatingSince)));
 }
 
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -3,6 +3,7 @@
 #include "udpaddress.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 
@@ -121,8 +122,8 @@
     if (m_ranking.add(peer.id))
         m_quarantines.addDaemon(peer.id);
     m_events.record(Severity::Info, core::events::peerJoined,
-                    "peer=" + peer.id + " incarnation=" + std::to_string(peer.incarnation)
-                        + " address=" + peer.address);
+                    "peer=" + core::logValue(peer.id) + " incarnation=" + std::to_string(peer.incarnation)
+                        + " address=" + core::logValue(peer.address));
     publishPeers();
 }
 
@@ -269,8 +270,9 @@
         return;
     if (m_leaving.add({message.service, message.target})) {
         m_events.record(Severity::Info, core::events::targetLeavingTold,
-                        "target=" + message.target.id + " born=" + std::to_string(message.target.incarnation)
-                            + " service=" + message.service + " from=" + from);
+                        "target=" + core::logValue(message.target.id)
+                            + " born=" + std::to_string(message.target.incarnation)
+                            + " service=" + core::logValue(message.service) + " from=" + core::logValue(from));
         handOver(message.service);
     }
 }
--- a/packages/daemon/src/gatewaycontrol_permits.cpp
+++ b/packages/daemon/src/gatewaycontrol_permits.cpp
@@ -1,6 +1,7 @@
 #include "gatewaycontrol.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <utility>
 
@@ -57,7 +58,7 @@
 void GatewayControl::act(const core::CoordinatorSilent &effect)
 {
     m_events.record(Severity::Warning, core::events::permitCoordinatorSilent,
-                    "daemon=" + effect.daemon + " target=" + effect.target.id);
+                    "daemon=" + core::logValue(effect.daemon) + " target=" + core::logValue(effect.target.id));
 }
 
 void GatewayControl::heard(const std::string &from, const core::PermitRequest &message)
--- a/packages/daemon/src/gatewaycontrol_quarantine.cpp
+++ b/packages/daemon/src/gatewaycontrol_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "gatewaycontrol.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 /// The part of GatewayControl that takes part in the quarantine of requests that crash targets.
 namespace sardinehinge::daemon {
@@ -51,17 +52,18 @@
             send(digest->to, protocol::QuarantineDigest{digest->digest, digest->isReply});
         } else if (const auto *counted = std::get_if<core::CrashCounted>(&effect)) {
             m_events.record(Severity::Warning, core::events::crashCounted,
-                            "fingerprint=" + toString(counted->report.request) + " target=" + counted->report.target.id
+                            "fingerprint=" + toString(counted->report.request)
+                                + " target=" + core::logValue(counted->report.target.id)
                                 + " born=" + std::to_string(counted->report.target.incarnation)
                                 + " copies=" + std::to_string(counted->report.copies)
-                                + " crashes=" + std::to_string(counted->crashes)
-                                + " ended_ms_ago=" + milliseconds(counted->report.endedAgo) + " from=" + from);
+                                + " crashes=" + std::to_string(counted->crashes) + " ended_ms_ago="
+                                + milliseconds(counted->report.endedAgo) + " from=" + core::logValue(from));
         } else if (const auto *changed = std::get_if<core::QuarantineChanged>(&effect)) {
             const core::Quarantine &quarantine = changed->quarantine;
             m_events.record(Severity::Warning,
                             quarantine.isInForce() ? core::events::requestQuarantined : core::events::quarantineEnded,
-                            "fingerprint=" + toString(quarantine.request)
-                                + " generation=" + std::to_string(quarantine.generation) + " from=" + from
+                            "fingerprint=" + toString(quarantine.request) + " generation="
+                                + std::to_string(quarantine.generation) + " from=" + core::logValue(from)
                                 + (quarantine.isInForce() ? " for_ms=" + milliseconds(quarantine.timeLeft)
                                                           : std::string(" reason=answered")));
             m_tellTraffic(quarantine);
--- a/packages/daemon/src/gatewaylog.cpp
+++ b/packages/daemon/src/gatewaylog.cpp
@@ -1,4 +1,5 @@
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 #include <sardinehinge/daemon/eventlog.h>
 
 #include <boost/log/core.hpp>
@@ -158,7 +159,7 @@
 
 void initialiseGatewayLog(const std::string &daemonId)
 {
-    output() = std::make_unique<BoundedOutput>(daemonId);
+    output() = std::make_unique<BoundedOutput>(core::logValue(daemonId));
     using Sink = logging::sinks::unlocked_sink<OutputBackend>;
     logging::core::get()->add_sink(boost::make_shared<Sink>(boost::make_shared<OutputBackend>()));
 }
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -2,6 +2,7 @@
 
 #include <sardinehinge/core/admission/pipelining.h>
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <random>
 
@@ -210,7 +211,7 @@
     }))
 {
     m_worker.onError([this](const std::string &detail) {
-        m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=\"" + detail + "\"");
+        m_events.record(Severity::Error, core::events::taskFailed, "duty=traffic detail=" + core::logValue(detail));
     });
     m_router.setDaemonCount(settings.daemons);
     if (!settings.isFirstStart)
@@ -384,7 +385,7 @@
         return;
     m_metrics.requestsAbandoned.Increment();
     m_events.record(Severity::Info, core::events::gatewayRequestEnded,
-                    "request=" + found->second.requestId + " end=caller_left after_ms="
+                    "request=" + core::logValue(found->second.requestId) + " end=caller_left after_ms="
                         + std::to_string(milliseconds(bootTime() - found->second.arrived)) + found->second.route);
     carryOut(m_router.callerLeft(id, bootTime()));
     m_exchanges.erase(id);
@@ -393,7 +394,8 @@
 http::Response GatewayTraffic::rejection(int status, const std::string &detail, const std::string &peer)
 {
     m_events.record(Severity::Warning, core::events::gatewayRequestEnded,
-                    "peer=" + peer + " end=rejected status=" + std::to_string(status) + " reason=\"" + detail + "\"");
+                    "peer=" + peer + " end=rejected status=" + std::to_string(status)
+                        + " reason=" + core::logValue(detail));
     http::Response response{status, {{"Content-Type", "text/plain"}}, detail + "\n"};
     if (status == statusUnavailable)
         response.headers.emplace_back("Retry-After", secondsText(noRoomRetryAfter));
@@ -430,7 +432,8 @@
     if (found == m_exchanges.end())
         return;
     Exchange &exchange = found->second;
-    exchange.route += " try=" + effect.target.id + "@" + std::to_string(milliseconds(bootTime() - exchange.arrived));
+    exchange.route += " try=" + core::logValue(effect.target.id) + "@"
+        + std::to_string(milliseconds(bootTime() - exchange.arrived));
     const http::Request message = m_dialect->forTarget(exchange.message, effect);
     const http::ExchangeOptions options = m_dialect->options(exchange.message, effect);
     const auto id = m_client.send(
@@ -457,7 +460,7 @@
         if (end.outcome == http::ExchangeOutcome::Complete)
             exchange.answer = std::move(end.response);
         else
-            exchange.route += " reason=\"" + end.detail + "\"";
+            exchange.route += " reason=" + core::logValue(end.detail);
     }
     // Also when the caller has left and its request is gone.
     carryOut(m_router.targetNoticed(service, target, read.notice, core::SignalSource::Request, bootTime()));
@@ -490,7 +493,8 @@
     m_metrics.requestsDone.Increment();
     m_metrics.requestSeconds.Observe(std::chrono::duration<double>(taken).count());
     m_events.record(Severity::Debug, core::events::gatewayRequestEnded,
-                    "request=" + exchange.requestId + " end=answered status=" + std::to_string(exchange.answer.status)
+                    "request=" + core::logValue(exchange.requestId)
+                        + " end=answered status=" + std::to_string(exchange.answer.status)
                         + " after_ms=" + std::to_string(milliseconds(taken)) + exchange.route);
     exchange.responder->send(m_dialect->forCaller(std::move(exchange.answer), exchange.message));
 }
@@ -507,7 +511,7 @@
         m_metrics.requestsQuarantined.Increment();
     (effect.mayHaveRun ? m_metrics.requestsUnknown : m_metrics.requestsNotRun).Increment();
     m_events.record(Severity::Info, core::events::gatewayRequestEnded,
-                    "request=" + exchange.requestId + " end=" + nameOf(effect.error)
+                    "request=" + core::logValue(exchange.requestId) + " end=" + nameOf(effect.error)
                         + " status=" + std::to_string(status) + " config=" + std::to_string(m_router.configVersion())
                         + " after_ms=" + std::to_string(milliseconds(bootTime() - exchange.arrived))
                         + " retry_after_ms=" + std::to_string(milliseconds(effect.retryAfter)) + " detail=\""
@@ -528,9 +532,10 @@
     const core::BeliefChange &change = effect.change;
     m_events.record(
         Severity::Info, change.hasBegun ? core::events::targetBeliefBegan : core::events::targetBeliefEnded,
-        "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation)
-            + " service=" + effect.service + " signal=" + nameOf(change.signal) + " source=" + nameOf(change.source)
-            + (change.hasBegun ? " for_ms=" : " age_ms=") + std::to_string(milliseconds(change.time))
+        "target=" + core::logValue(effect.target.id) + " born=" + std::to_string(effect.target.incarnation)
+            + " service=" + core::logValue(effect.service) + " signal=" + nameOf(change.signal)
+            + " source=" + nameOf(change.source) + (change.hasBegun ? " for_ms=" : " age_ms=")
+            + std::to_string(milliseconds(change.time))
             + (change.signal == core::TargetSignal::RateLimit ? " rate=" + std::to_string(change.rate) : ""));
     if (change.signal != core::TargetSignal::Leaving || !change.hasBegun || !m_shardedServices.contains(effect.service))
         return;
@@ -542,7 +547,7 @@
 {
     const core::SpillChange &change = effect.change;
     m_events.record(Severity::Info, change.hasBegun ? core::events::spillBegan : core::events::spillEnded,
-                    "service=" + effect.service + " home_time=" + std::to_string(change.homeTime)
+                    "service=" + core::logValue(effect.service) + " home_time=" + std::to_string(change.homeTime)
                         + " abroad_time=" + std::to_string(change.abroadTime)
                         + " abroad_age_ms=" + std::to_string(milliseconds(change.abroadAge))
                         + " home_targets=" + std::to_string(change.homeTargets)
@@ -561,8 +566,9 @@
             : outcome == http::ConnectOutcome::Open                   ? "open"
                                                                       : "failed";
         m_events.record(Severity::Info, core::events::targetProbed,
-                        "target=" + effect.target.id + " born=" + std::to_string(effect.target.incarnation)
-                            + " service=" + effect.service + " connection=" + result);
+                        "target=" + core::logValue(effect.target.id)
+                            + " born=" + std::to_string(effect.target.incarnation)
+                            + " service=" + core::logValue(effect.service) + " connection=" + result);
         carryOut(
             m_router.targetProbed(effect.service, effect.target, outcome == http::ConnectOutcome::Refused, bootTime()));
     });
