Read the project's own store and instance list past odd entries

What callers would see: no changes of instances or documents, and no service after a restart, while one entry of another writer stands in the instance list or one object that isn't UTF-8 in the store. Cause: one entry with a field missing or of another type, a number out of range, deep nesting or bytes that aren't UTF-8 made the whole answer unreadable, at each call. The platform's adapter had a tolerant parser, the project's own hadn't. Change: the tolerant parser moved to the edges, which both products link; an entry of the list that can't be read, whose name can't be an id or whose address can't be called names no instance.

--- a/packages/edges/src/documentcodec.cpp
+++ b/packages/edges/src/documentcodec.cpp
@@ -1,4 +1,7 @@
+#include <sardinehinge/core/text.h>
 #include <sardinehinge/edges/documentcodec.h>
+#include <sardinehinge/edges/tolerantjson.h>
+#include <sardinehinge/http/client.h>
 
 #include "jsonreader.h"
 
@@ -262,13 +265,15 @@
 
 core::Result<core::InstanceView> decodeInstances(const std::string &json)
 {
+    const auto root = parseTolerantly(QByteArray::fromStdString(json), {});
     std::vector<std::string> faults;
-    const QJsonValue root = parseObject(json, faults);
-    JsonReader reader(root, {}, faults);
+    JsonReader reader(root ? QJsonValue(*root) : QJsonValue(), {}, faults);
     core::InstanceView view;
     view.version = reader.number("version", 0, true);
     for (const QJsonValue value : reader.array("instances", true)) {
-        JsonReader entry(value, "instances", faults);
+        // An entry that can't be read names no instance; the others hold.
+        std::vector<std::string> entryFaults;
+        JsonReader entry(value, "instances", entryFaults);
         core::Instance instance;
         instance.id = entry.string("id", {}, true);
         instance.kind = static_cast<core::InstanceKind>(entry.choice("kind", instanceKinds, 0));
@@ -276,7 +281,8 @@
         instance.failureDomain = entry.string("failureDomain");
         instance.service = entry.string("service");
         instance.leaving = entry.boolean("leaving", false);
-        view.instances.push_back(std::move(instance));
+        if (entryFaults.empty() && core::isInstanceId(instance.id) && http::isPeerAddress(instance.address))
+            view.instances.push_back(std::move(instance));
     }
     if (!faults.empty())
         return decodeError(faults);
--- a/packages/edges/src/httpobjectstore.cpp
+++ b/packages/edges/src/httpobjectstore.cpp
@@ -1,9 +1,9 @@
 #include <sardinehinge/edges/httpadapters.h>
+#include <sardinehinge/edges/tolerantjson.h>
 
 #include "replies.h"
 
 #include <QJsonArray>
-#include <QJsonDocument>
 #include <QJsonObject>
 #include <QUrlQuery>
 
@@ -32,9 +32,14 @@
 
 StoredObject readObject(const QJsonObject &object)
 {
-    return {object.value("name").toString().toStdString(),
-            static_cast<std::uint64_t>(object.value("revision").toInteger()),
-            object.value("bytes").toString().toStdString()};
+    return {bytesOf(object.value("name").toString()), static_cast<std::uint64_t>(object.value("revision").toInteger()),
+            bytesOf(object.value("bytes").toString())};
+}
+
+/// Reads an answer; empty if it can't be read. One object that can't be read must not hide the others.
+QJsonObject parseAnswer(const QByteArray &body)
+{
+    return parseTolerantly(body, {}).value_or(QJsonObject());
 }
 
 /// Whether an object has its revision: without one it would pass for an absent object.
@@ -44,7 +49,7 @@
 }
 
 /// Whether an answer has a list of whole objects.
-bool hasObjects(const QJsonDocument &document)
+bool hasObjects(const QJsonObject &document)
 {
     const QJsonArray objects = document["objects"].toArray();
     return document["objects"].isArray() && std::all_of(objects.begin(), objects.end(), isWhole);
@@ -74,10 +79,10 @@
     whenFinished(reply, [base = m_base, name, done = std::move(done)](const PlatformReply &finished) {
         if (finished.status == statusNotFound)
             return done(StoredObject{name, 0, {}});
-        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !isWhole(document.object()))
+        const QJsonObject document = parseAnswer(finished.body);
+        if (finished.status != statusOk || !isWhole(document))
             return done(platformError("store read", base, finished));
-        done(readObject(document.object()));
+        done(readObject(document));
     });
 }
 
@@ -91,10 +96,10 @@
     whenFinished(reply, [done = std::move(done)](const PlatformReply &finished) {
         if (finished.status == statusConflict)
             return done({WriteAnswer::Conflict, 0});
-        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
-        if (finished.status != statusOk || !isWhole(document.object()))
+        const QJsonObject document = parseAnswer(finished.body);
+        if (finished.status != statusOk || !isWhole(document))
             return done({WriteAnswer::Lost, 0});
-        done({WriteAnswer::Applied, static_cast<std::uint64_t>(document.object().value("revision").toInteger())});
+        done({WriteAnswer::Applied, static_cast<std::uint64_t>(document.value("revision").toInteger())});
     });
 }
 
@@ -105,12 +110,11 @@
     query.addQueryItem("waitMs", QString::number(wait / std::chrono::milliseconds(1)));
     QNetworkReply *reply = m_network.get(platformRequest(urlFor(m_base, "/watch", query), platformTimeout + wait));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
-        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        const QJsonObject document = parseAnswer(finished.body);
         if (finished.status != statusOk || !document["upTo"].isDouble() || !hasObjects(document))
             return done(platformError("store watch", base, finished));
-        const QJsonObject root = document.object();
-        done(WatchReply{static_cast<std::uint64_t>(root.value("upTo").toInteger()),
-                        readObjects(root.value("objects").toArray())});
+        done(WatchReply{static_cast<std::uint64_t>(document.value("upTo").toInteger()),
+                        readObjects(document.value("objects").toArray())});
     });
 }
 
@@ -119,10 +123,10 @@
     const QUrl url = urlFor(m_base, "/versions/" + name, {});
     QNetworkReply *reply = m_network.get(platformRequest(url, platformTimeout));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
-        const QJsonDocument document = QJsonDocument::fromJson(finished.body);
+        const QJsonObject document = parseAnswer(finished.body);
         if (finished.status != statusOk || !hasObjects(document))
             return done(platformError("store versions", base, finished));
-        done(readObjects(document.object().value("objects").toArray()));
+        done(readObjects(document.value("objects").toArray()));
     });
 }
 
--- a/packages/edges/src/jsonreader.cpp
+++ b/packages/edges/src/jsonreader.cpp
@@ -1,5 +1,7 @@
 #include "jsonreader.h"
 
+#include <sardinehinge/edges/tolerantjson.h>
+
 #include <QJsonDocument>
 #include <QJsonParseError>
 
@@ -30,7 +32,7 @@
         return fallback;
     if (!value.isString())
         fault(name, "must be a string");
-    return value.toString().toStdString();
+    return bytesOf(value.toString());
 }
 
 std::uint64_t JsonReader::number(const char *name, std::uint64_t fallback, bool isRequired)
--- a/platform/src/tolerantjson.cpp
+++ b/packages/edges/src/tolerantjson.cpp
@@ -1,4 +1,4 @@
-#include "tolerantjson.h"
+#include <sardinehinge/edges/tolerantjson.h>
 
 #include <sardinehinge/core/text.h>
 
@@ -8,7 +8,7 @@
 
 #include <algorithm>
 
-namespace sardinehinge::platform::internal {
+namespace sardinehinge::edges {
 
 namespace {
 
@@ -97,7 +97,8 @@
 }
 
 /// Returns nothing if a list as a whole can't be read: it must not pass for one without entries.
-std::optional<QByteArray> repaired(QByteArrayView value, QByteArrayView key, int depth)
+std::optional<QByteArray> repaired(QByteArrayView value, QByteArrayView key, int depth,
+                                   const QList<QByteArray> &wholeKeys)
 {
     constexpr int listDepth = 1;
     if (isParsable(value))
@@ -106,9 +107,11 @@
         if (QByteArray text = withEscapedBytes(value); isParsable(text))
             return text;
     }
+    const bool isWhole = std::any_of(wholeKeys.begin(), wholeKeys.end(),
+                                     [key](const QByteArray &each) { return key == '"' + each + '"'; });
     const bool isContainer = value.size() >= 2
         && ((value.front() == '{' && value.back() == '}') || (value.front() == '[' && value.back() == ']'));
-    const bool isRepaired = isContainer && depth < repairedDepth && key != "\"spec\"" && key != "\"status\"";
+    const bool isRepaired = isContainer && depth < repairedDepth && !isWhole;
     const auto members = isRepaired ? split(value.sliced(1, value.size() - 2)) : std::nullopt;
     if (!members)
         return depth <= listDepth ? std::nullopt : std::optional(QByteArray("null"));
@@ -116,7 +119,7 @@
     for (const Member &member : *members) {
         if (!member.key.isEmpty() && !isParsable(member.key))
             continue;
-        const auto part = repaired(member.value, member.key, depth + 1);
+        const auto part = repaired(member.value, member.key, depth + 1, wholeKeys);
         if (!part)
             return std::nullopt;
         if (text.size() > 1)
@@ -150,13 +153,14 @@
     return bytes;
 }
 
-std::optional<QJsonObject> parseTolerantly(const QByteArray &text)
+std::optional<QJsonObject> parseTolerantly(const QByteArray &text, const QList<QByteArray> &wholeKeys)
 {
     const QJsonDocument whole = QJsonDocument::fromJson(text);
     if (whole.isObject())
         return whole.object();
-    const QJsonDocument rest = QJsonDocument::fromJson(repaired(trimmed(text), {}, 0).value_or(QByteArray()));
+    const QJsonDocument rest
+        = QJsonDocument::fromJson(repaired(trimmed(text), {}, 0, wholeKeys).value_or(QByteArray()));
     return rest.isObject() ? std::optional(rest.object()) : std::nullopt;
 }
 
-} // namespace sardinehinge::platform::internal
+} // namespace sardinehinge::edges
--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -135,6 +135,33 @@
     CHECK(callsAnsweredWith(answer("412 Precondition Failed", "Content-Length: 85\r\n")).at(1) == End::Conflict);
 }
 
+TEST_CASE("An odd object in a watch of the store hides no other")
+{
+    const std::string odd = GENERATE(values<std::string>({
+        R"({"name":"a","revision":1,"bytes":")"
+        "\xff\"}",
+        "{\"name\":\"a\xc3\",\"revision\":1,\"bytes\":\"x\"}",
+        R"({"name":17,"revision":1,"bytes":1e999})",
+        R"({"name":"a","revision":1,"bytes":)" + std::string(5000, '[') + std::string(5000, ']') + "}",
+        R"({"name":"a&+#% ","revision":1,"bytes":"x"})",
+    }));
+    INFO(odd.substr(0, 60));
+    startApplication();
+    const std::string body = R"({"upTo":2,"objects":[)" + odd + R"(,{"name":"b","revision":2,"bytes":"x"}]})";
+    http::tests::ScriptedPeer peer(
+        {"", true, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, true});
+    HttpObjectStore store(QUrl(QString::fromStdString("http://" + peer.address())));
+    std::optional<core::Result<WatchReply>> result;
+    store.watch(1, std::chrono::seconds(1), [&](const auto &got) { result = got; });
+    runUntil([&] { return result.has_value(); });
+    REQUIRE(result.has_value());
+    REQUIRE(core::errorIn(*result) == nullptr);
+    const auto &reply = std::get<WatchReply>(*result);
+    CHECK(reply.upTo == 2);
+    REQUIRE(reply.objects.size() == 2);
+    CHECK(reply.objects.back() == StoredObject{"b", 2, "x"});
+}
+
 TEST_CASE("An answer without end doesn't fill the memory of the process")
 {
     const auto [head, repeated] = GENERATE(table<std::string, std::string>({
