Bound the answers that sardinehingectl reads, by bytes and by time

What operators would see: sardinehingectl that waits for ever and takes in memory without bound when a daemon's port answers without end, in a head or a body; a name of a header with a blank, or a body cut by a closed connection without a length, accepted. Cause: Qt's network access limits neither a head nor a body, and its timeout begins again with each byte. Change: the commands use the project's HTTP client, which the daemons use for all others: limits on head, body and time, strict framing, and no second sending of a POST. Names go into paths and queries encoded.

--- a/packages/client/include/sardinehinge/client/connection.h
+++ b/packages/client/include/sardinehinge/client/connection.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <sardinehinge/core/result.h>
+#include <sardinehinge/http/client.h>
 
 #include <QJsonObject>
-#include <QNetworkAccessManager>
-#include <QUrl>
+
+#include <boost/asio/io_context.hpp>
 
 #include <string>
 #include <vector>
@@ -18,19 +19,16 @@
     QJsonObject body; ///< Empty if the body is not a JSON object.
 };
 
-/// Blocking HTTP client of the operator interface of one daemon. Requires a QCoreApplication.
-/// A request is aborted after 5 s without data from the daemon.
-///
-/// Qt may send a POST request twice if the connection closes before a response arrives. Each command therefore carries
-/// an operation id, and the daemon accepts each id only once.
+/// Blocking HTTP client of the operator interface of one daemon. A request ends after 5 s, and a response whose head or
+/// body is larger than http::ClientLimits allows counts as none. No request is sent twice.
 class Connection
 {
 public:
     /// `address` is IP:PORT.
     explicit Connection(const std::string &address);
 
-    /// Sends a GET request. Returns an error of step `connect` if no whole response arrives, and of step `read` if its
-    /// body isn't JSON.
+    /// Sends a GET request. The slashes of `path` stay as they are. Returns an error of step `connect` if no whole
+    /// response arrives, and of step `read` if its body isn't JSON.
     core::Result<Response> get(const QString &path);
     /// Sends a POST request with a JSON body. Returns errors as get() does.
     core::Result<Response> post(const QString &path, const std::vector<std::pair<QString, QString>> &query,
@@ -41,12 +39,11 @@
     const std::string &address() const noexcept { return m_address; }
 
 private:
-    /// Blocks until `reply` is finished, then schedules its deletion.
-    core::Result<Response> awaitReply(QNetworkReply *reply);
+    core::Result<Response> exchange(const http::Request &request);
 
     std::string m_address;
-    QUrl m_base;
-    QNetworkAccessManager m_network;
+    boost::asio::io_context m_context;
+    http::Client m_client;
 };
 
 /// Returns a new, globally unique operation id (UUID).
--- a/packages/client/src/connection.cpp
+++ b/packages/client/src/connection.cpp
@@ -1,50 +1,51 @@
 #include <sardinehinge/client/connection.h>
 
 #include <QElapsedTimer>
-#include <QEventLoop>
 #include <QJsonDocument>
-#include <QNetworkReply>
+#include <QStringList>
 #include <QThread>
-#include <QUrlQuery>
 #include <QUuid>
 
+#include <optional>
+
 namespace sardinehinge::client {
 
 namespace {
 
-constexpr int callTimeoutMs = 5000;
+constexpr std::chrono::milliseconds callTimeout(5000);
 constexpr int pollIntervalMs = 20;
 
+std::string encodedPath(const QString &path)
+{
+    std::string encoded;
+    for (const QString &segment : path.split('/'))
+        encoded += "/" + http::encodePercent(segment.toStdString());
+    return encoded.substr(1); // The path begins with a slash, so that its first segment is empty.
+}
+
 } // namespace
 
 Connection::Connection(const std::string &address)
     : m_address(address)
-    , m_base(QString::fromStdString("http://" + address))
+    , m_client(m_context)
 {
 }
 
 core::Result<Response> Connection::get(const QString &path)
 {
-    QUrl url = m_base;
-    url.setPath(path);
-    QNetworkRequest request(url);
-    request.setTransferTimeout(callTimeoutMs);
-    return awaitReply(m_network.get(request));
+    return exchange({"GET", encodedPath(path), {}, {}, {}});
 }
 
 core::Result<Response> Connection::post(const QString &path, const std::vector<std::pair<QString, QString>> &query,
                                         const QByteArray &body)
 {
-    QUrlQuery items;
-    for (const auto &[name, value] : query)
-        items.addQueryItem(name, QString::fromUtf8(QUrl::toPercentEncoding(value)));
-    QUrl url = m_base;
-    url.setPath(path);
-    url.setQuery(items);
-    QNetworkRequest request(url);
-    request.setTransferTimeout(callTimeoutMs);
-    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-    return awaitReply(m_network.post(request, body));
+    std::string target = encodedPath(path);
+    char separator = '?';
+    for (const auto &[name, value] : query) {
+        target += separator + http::encodePercent(name.toStdString()) + "=" + http::encodePercent(value.toStdString());
+        separator = '&';
+    }
+    return exchange({"POST", target, {{"Content-Type", "application/json"}}, body.toStdString(), {}});
 }
 
 core::Result<Response> Connection::awaitOperation(const QString &operation, int seconds)
@@ -61,23 +62,25 @@
     }
 }
 
-core::Result<Response> Connection::awaitReply(QNetworkReply *reply)
+core::Result<Response> Connection::exchange(const http::Request &request)
 {
-    QEventLoop loop;
-    QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
-    loop.exec();
-    reply->deleteLater();
-    const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    // Errors of HTTP come with a status, all others leave it open whether the response is whole.
-    const bool isCut = reply->error() != QNetworkReply::NoError && reply->error() < QNetworkReply::ContentAccessDenied;
-    if (status == 0 || isCut)
+    std::optional<http::ExchangeResult> end;
+    http::ExchangeOptions options;
+    options.timeout = callTimeout;
+    // The daemon may close an idle connection just as a command is sent on it.
+    options.reusesConnections = request.method == "GET";
+    m_client.send(m_address, request, options, [&end](http::ExchangeResult got) { end = std::move(got); });
+    m_context.restart();
+    while (!end && m_context.run_one() != 0) {
+    }
+    if (!end || end->outcome != http::ExchangeOutcome::Complete)
         return core::Error{core::ErrorCode::TargetUnreachable, "connect", m_address,
-                           reply->errorString().toStdString()};
-    const QByteArray body = reply->readAll();
-    const QJsonDocument document = QJsonDocument::fromJson(body);
-    if (!body.isEmpty() && document.isNull())
+                           end ? end->detail : "the request ended without a result"};
+    const std::string &body = end->response.body;
+    const QJsonDocument document = QJsonDocument::fromJson(QByteArray::fromStdString(body));
+    if (!body.empty() && document.isNull())
         return core::Error{core::ErrorCode::AnswerTruncated, "read", m_address, "the response can't be read"};
-    return Response{status, document.object()};
+    return Response{end->response.status, document.object()};
 }
 
 QString newOperationId()
