--- a/packages/core/tests/text_test.cpp
+++ b/packages/core/tests/text_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace sardinehinge;
 
-TEST_CASE("A name in a log line is one value, whatever it holds")
+TEST_CASE("Any name is one value in a log line")
 {
     const auto [text, value] = GENERATE(table<std::string, std::string>({
         {"i-7f3a91c2", "i-7f3a91c2"},
