Read single objects of the project's own store strictly again

What callers would see: a document whose bytes can't be read taken for one without content. Change: only watches and lists of versions are read past an unreadable object.

--- a/packages/edges/src/httpobjectstore.cpp
+++ b/packages/edges/src/httpobjectstore.cpp
@@ -4,6 +4,7 @@
 #include "replies.h"
 
 #include <QJsonArray>
+#include <QJsonDocument>
 #include <QJsonObject>
 #include <QUrlQuery>
 
@@ -36,12 +37,19 @@
             bytesOf(object.value("bytes").toString())};
 }
 
-/// Reads an answer; empty if it can't be read. One object that can't be read must not hide the others.
-QJsonObject parseAnswer(const QByteArray &body)
+/// Reads an answer with several objects; empty if it can't be read. One object that can't be read must not hide the
+/// others.
+QJsonObject parseObjects(const QByteArray &body)
 {
     return parseTolerantly(body, {}).value_or(QJsonObject());
 }
 
+/// Reads an answer with one object; empty unless all of it can be read.
+QJsonObject parseObject(const QByteArray &body)
+{
+    return QJsonDocument::fromJson(body).object();
+}
+
 /// Whether an object has its revision: without one it would pass for an absent object.
 bool isWhole(const QJsonValue &object)
 {
@@ -79,7 +87,7 @@
     whenFinished(reply, [base = m_base, name, done = std::move(done)](const PlatformReply &finished) {
         if (finished.status == statusNotFound)
             return done(StoredObject{name, 0, {}});
-        const QJsonObject document = parseAnswer(finished.body);
+        const QJsonObject document = parseObject(finished.body);
         if (finished.status != statusOk || !isWhole(document))
             return done(platformError("store read", base, finished));
         done(readObject(document));
@@ -96,7 +104,7 @@
     whenFinished(reply, [done = std::move(done)](const PlatformReply &finished) {
         if (finished.status == statusConflict)
             return done({WriteAnswer::Conflict, 0});
-        const QJsonObject document = parseAnswer(finished.body);
+        const QJsonObject document = parseObject(finished.body);
         if (finished.status != statusOk || !isWhole(document))
             return done({WriteAnswer::Lost, 0});
         done({WriteAnswer::Applied, static_cast<std::uint64_t>(document.value("revision").toInteger())});
@@ -110,7 +118,7 @@
     query.addQueryItem("waitMs", QString::number(wait / std::chrono::milliseconds(1)));
     QNetworkReply *reply = m_network.get(platformRequest(urlFor(m_base, "/watch", query), platformTimeout + wait));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
-        const QJsonObject document = parseAnswer(finished.body);
+        const QJsonObject document = parseObjects(finished.body);
         if (finished.status != statusOk || !document["upTo"].isDouble() || !hasObjects(document))
             return done(platformError("store watch", base, finished));
         done(WatchReply{static_cast<std::uint64_t>(document.value("upTo").toInteger()),
@@ -123,7 +131,7 @@
     const QUrl url = urlFor(m_base, "/versions/" + name, {});
     QNetworkReply *reply = m_network.get(platformRequest(url, platformTimeout));
     whenFinished(reply, [base = m_base, done = std::move(done)](const PlatformReply &finished) {
-        const QJsonObject document = parseAnswer(finished.body);
+        const QJsonObject document = parseObjects(finished.body);
         if (finished.status != statusOk || !hasObjects(document))
             return done(platformError("store versions", base, finished));
         done(readObjects(document.value("objects").toArray()));
--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -119,6 +119,8 @@
         R"({"name":"a","revision":0,"upTo":2})",
         R"({"name":"a","revision":"2","upTo":"2","objects":{},"version":"2","instances":{}})",
         R"({"name":"a","revision":null,"upTo":2,"objects":[{}],"version":2})",
+        R"({"name":"a","revision":2,"bytes":1e999})",
+        "{\"name\":\"a\",\"revision\":2,\"bytes\":\"\xff\"}",
     }));
     INFO(body);
     CHECK(callsAnsweredWith("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
