Don't take a cut watch for an outage, nor keep targets that left before one

What callers saw: the store removed a target's entry and, half a second later, ended the waiting watches, once.

Cause: each call of a watch without an answer counted as an outage of the store, and from an outage until 2.1 s after its end no vanished entry expired, also one whose removal had been learnt before.

Evidence, by the log of a run before the change, times from the removal: the daemon without a watch dropped the target after 1.0 s (E604); the two that watched recorded E606 "End of file" at 0.5 s, E607 at 1.7 s, and E604 at 3.8 s.

Change: after a waiting call that ends before its time, FeedWatcher asks the store without waiting, and only if that call fails is the store unreachable. TargetRegistry decides whether an entry may have lapsed when it vanishes. Two events show the decisions, E634 and E635.

Entries that lapse in an outage stay in use, before and after.

--- a/packages/core/include/sardinehinge/core/targetregistry.h
+++ b/packages/core/include/sardinehinge/core/targetregistry.h
@@ -28,8 +28,12 @@
 /// Tracks the targets in the platform's registry, including those whose entries may only have lapsed. Does no I/O.
 ///
 /// An entry vanishes when its target leaves, or when a store outage outlasts the entry's lifetime. A vanished entry is
-/// therefore kept for `removalDelay`, and after an outage for at least `recoveryGrace` from its end. An entry whose
-/// removal is learnt late is kept for less: the drain bound counts from the time up to which the registry was complete.
+/// therefore kept for `removalDelay`. An entry whose removal is learnt late is kept for less: the drain bound counts
+/// from the time up to which the registry was complete.
+///
+/// An entry that vanishes during an outage, or within `recoveryGrace` of its end, may only have lapsed: it is kept for
+/// at least `recoveryGrace` from the end of the outage. An outage that begins after an entry has vanished doesn't
+/// prolong its retention: the removal was learnt from a store that answered, so the target has left.
 ///
 /// Within an era of the store, entries come in the order in which they were written. The first list of a later era
 /// shows targets as they were some time ago, so an entry of it doesn't undo what is known to be later:
@@ -51,8 +55,8 @@
     /// Adds or replaces an entry. Returns false, and changes nothing, if it is outdated.
     bool put(const RegisteredTarget &target, Time now);
     /// Marks an entry as vanished: it was deleted or can no longer be read. `completeAt`: when this registry was last
-    /// known to be complete; the entry vanished after it.
-    void remove(const std::string &id, Time now, Time completeAt);
+    /// known to be complete; the entry vanished after it. Returns whether the entry was present until now.
+    bool remove(const std::string &id, Time now, Time completeAt);
     /// Marks every entry whose id isn't in `present` as vanished. Call it with the ids of a complete listing.
     void keepOnly(const std::vector<std::string> &present, Time now, Time completeAt);
     /// The store has returned from an older copy. The entries put from now until keepOnly() are its first list.
@@ -60,9 +64,12 @@
     /// Whether an outdated entry keeps a removed target out; a list of some time later shows whether that one still
     /// writes.
     bool hasOutdatedRemovals() const noexcept;
-    /// Suspends expiry, except of draining targets, until `recoveryGrace` after storeReconnected().
+    /// Until `recoveryGrace` after storeReconnected(), vanishing entries may have lapsed: they don't expire before
+    /// then, except those of draining targets.
     void storeDisconnected() noexcept { m_isStoreDisconnected = true; }
     void storeReconnected(Time now) noexcept;
+    /// Whether an entry that vanishes now may only have lapsed.
+    bool mayLapse(Time now) const noexcept { return m_isStoreDisconnected || now < m_recoveryEnd; }
     /// Deletes the vanished entries whose retention has ended and returns their ids. Entries of draining targets
     /// are deleted without a delay.
     std::vector<std::string> expire(Time now);
@@ -89,7 +96,8 @@
         RegisteredTarget target;
         Time warmupEnd = 0ms;
         Time vanishedAt = 0ms; ///< 0: present in the registry.
-        Time removalAt = 0ms; ///< Of a vanished entry, unless the store is or was away.
+        Time removalAt = 0ms; ///< When a vanished entry expires at the earliest.
+        bool mayHaveLapsed = false; ///< Vanished when mayLapse(), or lost with the store's latest changes.
         bool isLost = false; ///< Vanished from the first list of an era, so it may have been lost with the copy.
         std::optional<Version> outdated; ///< Entries up to this one are outdated.
     };
--- a/packages/core/src/targetregistry.cpp
+++ b/packages/core/src/targetregistry.cpp
@@ -12,7 +12,7 @@
     m_removals.erase(target.identity.id);
     Entry &entry = m_entries[target.identity.id];
     const bool isSame = entry.target == target && entry.vanishedAt == 0ms;
-    entry = {target, now + target.warmupLeft, 0ms, 0ms, false, {}};
+    entry = {target, now + target.warmupLeft, 0ms, 0ms, false, false, {}};
     m_isChanged = m_isChanged || !isSame;
     return true;
 }
@@ -66,14 +66,16 @@
                        [](const auto &removal) { return removal.second.outdated.has_value(); });
 }
 
-void TargetRegistry::remove(const std::string &id, Time now, Time completeAt)
+bool TargetRegistry::remove(const std::string &id, Time now, Time completeAt)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.vanishedAt != 0ms)
-        return;
-    found->second.vanishedAt = now;
-    found->second.removalAt
-        = std::min(now + m_timing.removalDelay, completeAt + m_timing.drainBound - m_timing.sendMargin);
+        return false;
+    Entry &entry = found->second;
+    entry.vanishedAt = now;
+    entry.removalAt = std::min(now + m_timing.removalDelay, completeAt + m_timing.drainBound - m_timing.sendMargin);
+    entry.mayHaveLapsed = mayLapse(now);
+    return true;
 }
 
 void TargetRegistry::keepOnly(const std::vector<std::string> &present, Time now, Time completeAt)
@@ -86,6 +88,7 @@
         if (eraChangedAt) {
             entry.removalAt = *eraChangedAt + m_timing.recoveryGrace;
             entry.isLost = true;
+            entry.mayHaveLapsed = true;
         }
     }
 }
@@ -103,10 +106,9 @@
     for (const auto &[id, entry] : m_entries) {
         if (entry.vanishedAt == 0ms)
             continue;
+        const bool mayReappear = entry.mayHaveLapsed && mayLapse(now);
         // A draining target has announced that it leaves, so its entry can't merely have lapsed.
-        const bool isDue = entry.target.isDraining || now >= entry.removalAt;
-        const bool isStoreReliable = entry.target.isDraining || (!m_isStoreDisconnected && now >= m_recoveryEnd);
-        if (isDue && isStoreReliable)
+        if (entry.target.isDraining || (now >= entry.removalAt && !mayReappear))
             expired.push_back(id);
     }
     for (const std::string &id : expired) {
--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -191,6 +191,53 @@
     }
 }
 
+// Guards against a departed target that stays in use because the store goes away after its removal was known.
+TEST_CASE("An outage keeps an entry that may have lapsed, and none whose removal was known before it")
+{
+    struct Outage
+    {
+        Time begin;
+        Time end;
+    };
+    struct Case
+    {
+        const char *name;
+        std::vector<Outage> outages;
+        Time vanishedAt;
+        Time removedAt;
+    };
+    const auto [name, outages, vanishedAt, removedAt] = GENERATE(values<Case>({
+        {"no outage", {}, 10s, 11s},
+        {"an outage after the removal", {{10500ms, 14s}}, 10s, 11s},
+        {"an outage right after the removal", {{10001ms, 10002ms}}, 10s, 11s},
+        {"an outage without end", {{10500ms, 60s}}, 10s, 11s},
+        {"outages again and again", {{10200ms, 10300ms}, {10500ms, 10600ms}, {10800ms, 10900ms}}, 10s, 11s},
+        {"an outage long before", {{5s, 7s}}, 10s, 11s},
+        {"amid an outage, by another daemon", {{9s, 12s}}, 10s, 14100ms},
+        {"with the answer that ends an outage", {{7s, 10s}}, 10s, 12100ms},
+        {"soon after an outage", {{7s, 9s}}, 10s, 11100ms},
+        {"soon after an outage, before the next one", {{7s, 9s}, {10500ms, 13s}}, 10s, 15100ms},
+    }));
+    INFO(name);
+    constexpr Duration step = 1ms;
+    TargetRegistry registry;
+    registry.put(targetOf("a"), 0s);
+    Time expiredAt = 0s;
+    for (Time now = 0s; now < 20s && expiredAt == 0s; now += step) {
+        for (const Outage &outage : outages) {
+            if (now == outage.begin)
+                registry.storeDisconnected();
+            if (now == outage.end)
+                registry.storeReconnected(now);
+        }
+        if (now == vanishedAt)
+            registry.remove("a", now, now);
+        if (!registry.expire(now).empty())
+            expiredAt = now;
+    }
+    CHECK(expiredAt == removedAt);
+}
+
 TEST_CASE("A store that returns from an older copy brings no target back that had left or was draining")
 {
     // The last known entry is of incarnation 2 and sequence 10.
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -24,6 +24,8 @@
     core::Duration wait = std::chrono::milliseconds(1000); ///< One waiting call; its answer shows the others that the
                                                            ///< store is heard, see core::RosterTiming::watchWait.
     core::Duration catchUpWait = std::chrono::milliseconds(200); ///< The same of a call for news that others told of.
+    core::Duration checkWait = std::chrono::milliseconds(1); ///< The same after a call that got no answer: the store
+                                                             ///< answers at once, if it answers at all.
     core::Duration pause = std::chrono::milliseconds(100); ///< Of a watch after changes: those that follow closely cost
                                                            ///< one call. setSparing() gives that of other daemons.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
@@ -51,6 +53,9 @@
 /// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
 /// another daemon told of; lists again when history was lost or a later era of the store is seen, and takes nothing of
 /// an earlier one. Single-threaded, on the feed's io_context.
+///
+/// The store may close the connection of a waiting call at any time, which doesn't show that it is away. After such a
+/// call, another one asks without waiting; only if that one fails too is the store reported as unreachable.
 template<typename Value>
 class FeedWatcher
 {
@@ -71,6 +76,8 @@
         /// Reads the changes since a revision from the daemon that has news of them, and passes its answers on, or none
         /// if it doesn't have all. May be empty: then the store is called.
         std::function<void(std::uint64_t revision, core::StoreEra era, std::function<void(Answers)>)> readPeer = {};
+        /// A waiting call ended after `waited` without an answer, before its time was over. May be empty.
+        std::function<void(core::Duration waited, const std::string &detail)> cut = {};
     };
 
     FeedWatcher(boost::asio::io_context &context, edges::Feed<Value> &feed, Handlers handlers, FeedTiming timing = {})
@@ -286,39 +293,49 @@
     void watch()
     {
         m_isIdle = false;
-        const auto wait = m_isWatching ? m_timing.wait : m_timing.catchUpWait;
+        const auto wait = !m_isAnswering ? m_timing.checkWait : m_isWatching ? m_timing.wait : m_timing.catchUpWait;
         // Later changes may come from another daemon before the answer does.
         const std::uint64_t base = m_position.changedAt;
-        m_feed.watch(m_position.completeTo, wait, [this, base, round = m_round](const Page &page) {
+        const auto answered = [this, base, wait, calledAt = bootTime(), round = m_round](const Page &page) {
             if (round != m_round)
                 return;
-            // A watch of an older revision may be answered although the store has lost changes: the list replaces it.
-            eraSeen(page.era);
-            if (round != m_round)
+            const core::Duration waited = bootTime() - calledAt;
+            const bool isCut = m_isAnswering && page.outcome == edges::StoreOutcome::Lost && waited < wait;
+            isCut ? checkAfterCut(waited, page.detail) : takeWatched(page, base);
+        };
+        m_feed.watch(m_position.completeTo, wait, answered);
+    }
+
+    /// Takes the answer to a watch that was called when the latest known change was that of `base`.
+    void takeWatched(const Page &page, std::uint64_t base)
+    {
+        // A watch of an older revision may be answered although the store has lost changes: the list replaces it.
+        const std::uint64_t round = m_round;
+        eraSeen(page.era);
+        if (round != m_round)
+            return;
+        if (isOutdated(page))
+            return failOutdated(page);
+        if (page.outcome == edges::StoreOutcome::HistoryGone) {
+            m_isHistoryLost = true;
+            return listAgain();
+        }
+        if (page.outcome != edges::StoreOutcome::Ok)
+            return fail(page);
+        succeed();
+        // Another daemon may have told of later changes meanwhile, which this answer must not undo.
+        const bool isNews = page.revision >= m_position.completeTo && !page.entries.empty();
+        m_position.completeTo = std::max(m_position.completeTo, page.revision);
+        if (isNews) {
+            if (!take(page))
                 return;
-            if (isOutdated(page))
-                return failOutdated(page);
-            if (page.outcome == edges::StoreOutcome::HistoryGone) {
-                m_isHistoryLost = true;
-                return listAgain();
-            }
-            if (page.outcome != edges::StoreOutcome::Ok)
-                return fail(page);
-            succeed();
-            // Another daemon may have told of later changes meanwhile, which this answer must not undo.
-            const bool isNews = page.revision >= m_position.completeTo && !page.entries.empty();
-            m_position.completeTo = std::max(m_position.completeTo, page.revision);
-            if (isNews) {
-                if (!take(page))
-                    return;
-                m_position.changedAt = m_position.completeTo;
-                m_changedAt = std::chrono::steady_clock::now();
-                if (m_handlers.watched)
-                    m_handlers.watched(page, base);
-            }
-            m_completeAt = bootTime();
-            next();
-        });
+            m_position.changedAt = m_position.completeTo;
+            m_changedAt = std::chrono::steady_clock::now();
+            if (m_handlers.watched)
+                m_handlers.watched(page, base);
+        }
+        m_completeAt = bootTime();
+        next();
     }
 
     /// Hands the entries on. An exception counts as a failed call, so that the watch goes on.
@@ -339,11 +356,22 @@
     void succeed()
     {
         m_retry = core::Duration(0);
+        m_isAnswering = true;
         m_handlers.reached(true, {});
     }
 
+    /// Asks the store whether it answers. The pause bounds the calls if each one that waits is cut off.
+    void checkAfterCut(core::Duration waited, const std::string &detail)
+    {
+        m_isAnswering = false;
+        if (m_handlers.cut)
+            m_handlers.cut(waited, detail);
+        after(m_timing.retry, [this] { watch(); });
+    }
+
     void fail(const Page &page)
     {
+        m_isAnswering = false;
         m_handlers.reached(false, page.detail);
         m_retry = m_retry == core::Duration(0) ? m_timing.retry : std::min(m_retry * 2, m_timing.retryMax);
         after(m_retry, [this] { m_isListed ? watch() : list(); });
@@ -374,6 +402,7 @@
     bool m_isWatching = true;
     bool m_isIdle = false; ///< No call is under way, and none is due.
     bool m_isListed = false;
+    bool m_isAnswering = true; ///< The store has answered the last call.
     std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are dropped.
     core::Duration m_retry = core::Duration(0);
 };
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -1,5 +1,6 @@
 #include "gatewaycontrol.h"
 
+#include "milliseconds.h"
 #include "udpaddress.h"
 
 #include <sardinehinge/core/eventnumbers.h>
@@ -67,7 +68,8 @@
                  [this](core::StoreEra era) { eraSeen(era); },
                  [this](std::uint64_t revision, core::StoreEra era, const auto &done) {
                      readNews(FeedRelay::Kind::Configs, revision, era, done);
-                 }},
+                 },
+                 [this](core::Duration waited, const std::string &detail) { watchCut("configs", waited, detail); }},
                 configFeedTiming(rosterTiming(settings).watchWait))
     , m_targetFeed(m_worker.context(), m_platform->targets(),
                    {[this](const auto &entry) { targetChanged(entry); },
@@ -92,7 +94,8 @@
                     [this](core::StoreEra era) { eraSeen(era); },
                     [this](std::uint64_t revision, core::StoreEra era, const auto &done) {
                         readNews(FeedRelay::Kind::Targets, revision, era, done);
-                    }},
+                    },
+                    [this](core::Duration waited, const std::string &detail) { watchCut("targets", waited, detail); }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
     , m_reports(reportRing, m_worker.waker([this] {
@@ -214,13 +217,10 @@
         const bool isNewlyCold = entry.value->warmupLeft > core::Duration(0)
             && (known == nullptr || known->identity != entry.value->identity || known->warmupLeft == core::Duration(0));
         if (isNewlyCold && m_coldTargets.permitRate(entry.value->service) > 0)
-            m_events.record(
-                Severity::Info, core::events::targetCold,
-                "target=" + core::logValue(entry.name) + " service=" + core::logValue(entry.value->service)
-                    + " left_ms="
-                    + std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(entry.value->warmupLeft).count())
-                    + " rate=" + std::to_string(m_coldTargets.permitRate(entry.value->service)));
+            m_events.record(Severity::Info, core::events::targetCold,
+                            "target=" + core::logValue(entry.name) + " service=" + core::logValue(entry.value->service)
+                                + " left_ms=" + std::to_string(milliseconds(entry.value->warmupLeft))
+                                + " rate=" + std::to_string(m_coldTargets.permitRate(entry.value->service)));
         if (!m_registry.put(*entry.value, now))
             m_events.record(Severity::Info, core::events::targetEntryOutdated,
                             detail + " sequence=" + std::to_string(entry.value->sequence));
@@ -232,7 +232,12 @@
         if (!entry.fault.empty())
             m_events.record(Severity::Warning, core::events::targetEntryRefused,
                             "target=" + core::logValue(entry.name) + " reason=" + core::logValue(entry.fault));
-        m_registry.remove(entry.name, now, m_targetFeed.completeAt());
+        const core::Time completeAt = m_targetFeed.completeAt();
+        if (m_registry.remove(entry.name, now, completeAt))
+            m_events.record(Severity::Info, core::events::targetVanished,
+                            "target=" + core::logValue(entry.name)
+                                + " complete_ago_ms=" + std::to_string(milliseconds(now - completeAt))
+                                + " may_have_lapsed=" + (m_registry.mayLapse(now) ? "true" : "false"));
     }
     // Once for all entries of a response: each publication costs time for every target.
     if (!hasLists() || std::exchange(m_isPublicationScheduled, true))
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -74,6 +74,7 @@
     void configChanged(const edges::FeedEntry<core::GatewayConfig> &entry);
     void targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry);
     bool reached(bool isReachable, const std::string &detail);
+    void watchCut(const char *kind, core::Duration waited, const std::string &detail);
     void eraSeen(core::StoreEra era);
     void shareWatches();
     void keepForPeers(FeedRelay::Kind kind, const core::FeedPosition &position, std::uint64_t base,
--- a/packages/daemon/src/gatewaycontrol_evacuations.cpp
+++ b/packages/daemon/src/gatewaycontrol_evacuations.cpp
@@ -1,4 +1,5 @@
 #include "gatewaycontrol.h"
+#include "milliseconds.h"
 
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/text.h>
@@ -13,11 +14,6 @@
 /// Named in a notice, which must fit in a datagram; with more, the others call the store.
 constexpr std::size_t mostNoticedDomains = 16;
 
-std::int64_t milliseconds(core::Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 } // namespace
 
 /// Reads evacuations if the settings say that this deployment has some. Its calls say nothing of the store's
@@ -30,21 +26,24 @@
     // A waiting call is answered as soon as there is a change, and the other feeds notice first that the store is lost.
     // So its wait can be longer than theirs.
     timing.wait = std::max(m_roster.timing().watchWait, *m_settings.evacuationBound / 2);
-    m_evacuationFeed.emplace(m_worker.context(), m_platform->evacuations(),
-                             FeedWatcher<core::Evacuation>::Handlers{
-                                 [this](const edges::FeedEntry<core::Evacuation> &entry) {
-                                     entry.value ? m_evacuations.put(entry.name) : m_evacuations.remove(entry.name);
-                                     evacuationsChanged();
-                                 },
-                                 [this](const std::vector<std::string> &names) {
-                                     m_evacuations.keepOnly(names, bootTime());
-                                     m_hasEvacuations = true;
-                                     evacuationsChanged();
-                                 },
-                                 [this](bool, const std::string &) { m_metrics.storeWatches.Increment(); },
-                                 {},
-                                 [this](core::StoreEra era) { eraSeen(era); }},
-                             timing);
+    m_evacuationFeed.emplace(
+        m_worker.context(), m_platform->evacuations(),
+        FeedWatcher<core::Evacuation>::Handlers{
+            [this](const edges::FeedEntry<core::Evacuation> &entry) {
+                entry.value ? m_evacuations.put(entry.name) : m_evacuations.remove(entry.name);
+                evacuationsChanged();
+            },
+            [this](const std::vector<std::string> &names) {
+                m_evacuations.keepOnly(names, bootTime());
+                m_hasEvacuations = true;
+                evacuationsChanged();
+            },
+            [this](bool, const std::string &) { m_metrics.storeWatches.Increment(); },
+            {},
+            [this](core::StoreEra era) { eraSeen(era); },
+            {},
+            [this](core::Duration waited, const std::string &detail) { watchCut("evacuations", waited, detail); }},
+        timing);
     m_evacuationFeed->setWatching(false); // Until the roster decides otherwise.
     m_evacuationFeed->start();
 }
--- a/packages/daemon/src/gatewaycontrol_watches.cpp
+++ b/packages/daemon/src/gatewaycontrol_watches.cpp
@@ -1,6 +1,8 @@
 #include "gatewaycontrol.h"
+#include "milliseconds.h"
 
 #include <sardinehinge/core/eventnumbers.h>
+#include <sardinehinge/core/text.h>
 
 #include <algorithm>
 
@@ -69,6 +71,15 @@
     }
 }
 
+/// The store may end a waiting call at any time, so this is no outage: entries can't have lapsed.
+void GatewayControl::watchCut(const char *kind, core::Duration waited, const std::string &detail)
+{
+    m_metrics.storeWatches.Increment();
+    m_events.record(Severity::Info, core::events::watchCut,
+                    std::string("kind=") + kind + " waited_ms=" + std::to_string(milliseconds(waited))
+                        + " detail=" + core::logValue(detail));
+}
+
 /// Keeps an answer of this daemon's watch for the daemons that don't watch.
 void GatewayControl::keepForPeers(FeedRelay::Kind kind, const core::FeedPosition &position, std::uint64_t base,
                                   const std::string &source)
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -1,5 +1,7 @@
 #include "gatewaytraffic.h"
 
+#include "milliseconds.h"
+
 #include <sardinehinge/core/admission/pipelining.h>
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/text.h>
@@ -132,11 +134,6 @@
     return "unknown";
 }
 
-std::int64_t milliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::string secondsText(core::Duration duration)
 {
     // Seconds with two decimals: callers take fractions.
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <thread>
 
 using namespace sardinehinge;
 using namespace std::chrono_literals;
@@ -15,10 +16,10 @@
 class FakeFeed : public edges::Feed<int>
 {
 public:
-    void list(const std::string &, Callback done) override { calls.push_back({0, std::move(done)}); }
-    void watch(std::uint64_t revision, core::Duration, Callback done) override
+    void list(const std::string &, Callback done) override { calls.push_back({0, 0ms, std::move(done)}); }
+    void watch(std::uint64_t revision, core::Duration wait, Callback done) override
     {
-        calls.push_back({revision, std::move(done)});
+        calls.push_back({revision, wait, std::move(done)});
     }
 
     void answer(const Entries &entries, std::uint64_t revision, edges::StoreOutcome outcome = edges::StoreOutcome::Ok)
@@ -36,6 +37,7 @@
     struct Call
     {
         std::uint64_t revision;
+        core::Duration wait; ///< That a watch asks for.
         Callback done;
     };
     std::vector<Call> calls;
@@ -79,13 +81,16 @@
                 [](const auto &) {},
                 [this](bool isReachable, const std::string &) { failures += isReachable ? 0 : 1; },
                 {},
-                {}};
+                {},
+                {},
+                [this](core::Duration, const std::string &) { ++cuts; }};
     }
 
     boost::asio::io_context context;
     FakeFeed feed;
     std::map<std::string, int> values;
     int failures = 0;
+    int cuts = 0;
     daemon::FeedWatcher<int> watcher;
 };
 
@@ -297,3 +302,57 @@
     CHECK(following.values == std::map<std::string, int>{{"a", era == 5 ? 9 : 1}});
     CHECK(following.feed.calls.size() == (era == 6 ? 1 : 0));
 }
+
+// Guards against an outage of the store that is none: it cuts a waiting call off, and serves the next one.
+TEST_CASE("A waiting call that is cut off shows no outage, unless the next one isn't answered either")
+{
+    enum class Call { Cut, Overdue, Refused, Answered, Changed };
+    struct Case
+    {
+        const char *name;
+        std::vector<Call> calls;
+        int cuts;
+        int failures;
+    };
+    const bool isWatching = GENERATE(true, false);
+    const auto [name, calls, cuts, failures] = GENERATE(values<Case>({
+        {"cut once", {Call::Cut, Call::Answered}, 1, 0},
+        {"cut once, just before a change", {Call::Cut, Call::Changed}, 1, 0},
+        {"cut again and again",
+         {Call::Cut, Call::Answered, Call::Cut, Call::Answered, Call::Cut, Call::Answered},
+         3,
+         0},
+        {"cut, and the next call too", {Call::Cut, Call::Cut, Call::Answered}, 1, 1},
+        {"cut, and the next calls too", {Call::Cut, Call::Cut, Call::Cut, Call::Answered}, 1, 2},
+        {"cut as the store goes away", {Call::Cut, Call::Refused, Call::Answered}, 1, 1},
+        {"no answer in time", {Call::Overdue, Call::Answered}, 0, 1},
+        {"refused", {Call::Refused, Call::Answered}, 0, 1},
+        {"cut after an outage", {Call::Refused, Call::Answered, Call::Cut, Call::Answered}, 1, 1},
+    }));
+    INFO(name << (isWatching ? ", watching" : ", following"));
+    daemon::FeedTiming timing = Listed::shortPauses();
+    timing.retry = timing.retryMax = 1ms;
+    timing.wait = timing.catchUpWait = 200ms;
+    Listed feed(isWatching, timing);
+    std::uint64_t revision = 100;
+    feed.watcher.told({revision, revision}, 0ms); // A follower calls, too, and goes on until it is answered.
+    feed.run();
+    bool isAnswered = true;
+    for (const Call call : calls) {
+        REQUIRE(feed.feed.calls.size() == 1);
+        CHECK(feed.feed.calls.front().wait == (isAnswered ? timing.wait : timing.checkWait));
+        if (call == Call::Overdue)
+            std::this_thread::sleep_for(timing.wait);
+        if (call == Call::Answered || call == Call::Changed)
+            feed.feed.answer(call == Call::Changed ? Entries{{"b", 2, {}}} : Entries{}, revision);
+        else
+            feed.feed.answer({}, 0, call == Call::Refused ? edges::StoreOutcome::Refused : edges::StoreOutcome::Lost);
+        isAnswered = call == Call::Answered || call == Call::Changed;
+        if (isAnswered)
+            feed.watcher.told({revision + 1, ++revision}, 0ms);
+        feed.run();
+    }
+    CHECK(feed.cuts == cuts);
+    CHECK(feed.failures == failures);
+    CHECK(feed.values.contains("b") == (calls.back() == Call::Changed));
+}
