Keep the call for changes during a follower's list when another feed reports the store's return

What callers might see: a daemon that follows, and whose list had several pages, knows a change between the pages only from the next notice that names it, or after 1.3 s without any notice.

Cause: retryNow() dropped the call under way and went on as after an answer. A follower without news to ask for then made no call at all.

Change: retryNow() repeats the call that was due, and does nothing if none was.

Test: pagedlist_test.cpp; failed with the former retryNow(), since no call followed.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -149,12 +149,15 @@
         if (m_isListed)
             listAgain();
     }
-    /// Calls again at once: the store is known to answer after an outage, in which a waiting call may have been lost.
+    /// Calls again at once, unless no call is due: the store is known to answer after an outage, in which a waiting
+    /// call may have been lost.
     void retryNow()
     {
+        if (m_isIdle)
+            return;
         m_timer.cancel();
         ++m_round;
-        m_isListed ? next() : list();
+        m_isListed ? watch() : list();
     }
 
 private:
--- a/packages/daemon/tests/pagedlist_test.cpp
+++ b/packages/daemon/tests/pagedlist_test.cpp
@@ -318,6 +318,25 @@
     CHECK(copy.known() == copy.store.objects);
 }
 
+// Guards against changes that are lost when another feed reports the store's return during the call for them.
+TEST_CASE("A follower that is notified of the store's return still learns what changed during its list")
+{
+    Copy copy(false);
+    copy.settle(1);
+    copy.store.put(targetOf("a", 1, true));
+    copy.settle(2);
+    REQUIRE(copy.lists == 1);
+    REQUIRE(copy.store.isCalled());
+    copy.watcher.retryNow();
+    copy.run();
+    REQUIRE(copy.store.isCalled());
+    copy.settle(2);
+    CHECK(copy.known() == copy.store.objects);
+    copy.watcher.retryNow(); // Nothing is missing, so nothing is asked.
+    copy.run();
+    CHECK_FALSE(copy.store.isCalled());
+}
+
 TEST_CASE("The next page begins after the last new name, if possible that of an entry in use")
 {
     struct Case
