--- a/packages/edges/tests/brokenanswer_test.cpp
+++ b/packages/edges/tests/brokenanswer_test.cpp
@@ -1,6 +1,7 @@
 #include "../../http/tests/scriptedpeers.h"
 
 #include <sardinehinge/edges/httpadapters.h>
+#include <sardinehinge/edges/ownershipcodec.h>
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -109,6 +110,44 @@
     CHECK(callsAnsweredWith(broken) == std::vector<End>(5, End::Failed));
 }
 
+// Guards against an answer with status 000 that counts as a target's answer.
+TEST_CASE("An answer of a target with status 000 is none, to a request and to an order")
+{
+    const bool isBroken = GENERATE(false, true);
+    const std::string status = isBroken ? "000 None" : "200 OK";
+    INFO(status);
+    boost::asio::io_context context;
+    http::Client client(context);
+    const auto runUntilEnd = [&context](const auto &end) {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!end && std::chrono::steady_clock::now() < limit)
+            context.run_one_for(std::chrono::milliseconds(100));
+        REQUIRE(end.has_value());
+    };
+    SECTION("request")
+    {
+        const http::tests::ScriptedPeer peer({"", true, answer(status, "Content-Length: 85\r\n"), true});
+        std::optional<TargetAnswer> end;
+        HttpTargetTraffic(client).send({peer.address(), "id", false, {}, {}, std::chrono::seconds(1), {"GET", "/"}},
+                                       [&end](const TargetAnswer &got) { end = got; });
+        runUntilEnd(end);
+        CHECK(end->end == (isBroken ? core::AttemptEnd::AnswerTruncated : core::AttemptEnd::Answered));
+    }
+    SECTION("order")
+    {
+        const std::string report = encodeReport({});
+        const http::tests::ScriptedPeer peer(
+            {"", true,
+             "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report,
+             true});
+        std::optional<OrderEnd> end;
+        HttpTargetControl(client).send(peer.address(), {}, std::chrono::seconds(1),
+                                       [&end](const OrderEnd &got) { end = got; });
+        runUntilEnd(end);
+        CHECK(end->report.has_value() == !isBroken);
+    }
+}
+
 TEST_CASE("An answer without what it must name isn't taken for one that names nothing")
 {
     const std::string body = GENERATE(values<std::string>({
