Read news from another daemon while the store leaves the own call unanswered

What callers might see: requests at targets that drain or left, for up to 3 s after the others know of it. A daemon that watches, or that the store rejects, had a call of its own under way all the time and passed over the notices of the others; only changes small enough for a datagram reached it.

Change: a daemon that lacks news for 0.25 s, whatever its own call does, also reads them from the daemon that sent the notice. The two are joined as before: what is known isn't undone by a later answer.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -26,6 +26,8 @@
     core::Duration catchUpWait = std::chrono::milliseconds(200); ///< The same of a call for news that others told of.
     core::Duration checkWait = std::chrono::milliseconds(1); ///< The same after a call that got no answer: the store
                                                              ///< answers at once, if it answers at all.
+    core::Duration newsWait = std::chrono::milliseconds(250); ///< The store's answer is awaited this long for news that
+                                                              ///< others have; then they are asked, too.
     core::Duration pause = std::chrono::milliseconds(100); ///< Of a watch after changes: those that follow closely cost
                                                            ///< one call. setSparing() gives that of other daemons.
     core::Duration retry = std::chrono::milliseconds(200); ///< First wait after a failure; doubles up to retryMax.
@@ -122,9 +124,8 @@
         if (!position.hasNewsFor(m_position)) {
             m_position.completeTo = std::max(m_position.completeTo, position.completeTo);
             m_completeAt = std::max(m_completeAt, answeredAt);
-        } else if (std::exchange(m_newsAt, std::max(m_newsAt, position.changed())) <= m_position.complete()
-                   && m_isIdle) {
-            m_handlers.readPeer ? readPeer() : next();
+        } else {
+            takeNews(position.changed());
         }
     }
     /// Another daemon's watch brought `entries`, and no others between the revisions `base` and `revision` of `era`.
@@ -249,6 +250,19 @@
         hasGap ? watch() : next();
     }
 
+    /// Others know of a change that this daemon doesn't.
+    void takeNews(const core::StorePoint &news)
+    {
+        const core::Time now = bootTime();
+        if (m_newsAt <= m_position.complete())
+            m_newsSince = now;
+        m_newsAt = std::max(m_newsAt, news);
+        if (m_isIdle)
+            m_handlers.readPeer ? readPeer() : next();
+        else if (m_handlers.readPeer && !m_isReadingPeer && now - m_newsSince >= m_timing.newsWait)
+            readPeerMeanwhile();
+    }
+
     void failBroken()
     {
         Page failed;
@@ -275,24 +289,50 @@
     void readPeer()
     {
         m_isIdle = false;
+        m_isReadingPeer = true;
         const std::uint64_t before = m_position.completeTo;
         m_handlers.readPeer(before, m_era, [this, before, round = m_round](const Answers &answers) {
-            if (round != m_round)
+            peerRead();
+            if (round != m_round || !takeRelayed(answers))
                 return;
-            for (const core::FeedAnswer &answer : answers) {
-                Page page = m_feed.read(answer.source);
-                const bool follows = m_position.completeTo >= answer.base && m_position.completeTo < answer.revision;
-                if (page.outcome != edges::StoreOutcome::Ok || !follows)
-                    continue;
-                if (!take(page))
-                    return;
-                m_position.changedAt = m_position.completeTo = answer.revision;
-            }
             const bool isBehind = m_newsAt > m_position.complete();
             isBehind &&m_position.completeTo > before ? readPeer() : next();
         });
     }
 
+    /// The same while this daemon's own call is under way, or is tried again: the store may not answer it.
+    void readPeerMeanwhile()
+    {
+        m_isReadingPeer = true;
+        m_handlers.readPeer(m_position.completeTo, m_era, [this, round = m_round](const Answers &answers) {
+            peerRead();
+            if (round == m_round && !takeRelayed(answers))
+                ++m_round; // A failure calls the store again, in place of the call under way.
+        });
+    }
+
+    /// What the other daemon doesn't have is awaited from the store first.
+    void peerRead()
+    {
+        m_isReadingPeer = false;
+        m_newsSince = bootTime();
+    }
+
+    /// Takes what another daemon's watch brought, as far as it follows what is known. Returns false after a failure.
+    bool takeRelayed(const Answers &answers)
+    {
+        for (const core::FeedAnswer &answer : answers) {
+            const Page page = m_feed.read(answer.source);
+            const bool follows = m_position.completeTo >= answer.base && m_position.completeTo < answer.revision;
+            if (page.outcome != edges::StoreOutcome::Ok || !follows)
+                continue;
+            if (!take(page))
+                return false;
+            m_position.changedAt = m_position.completeTo = answer.revision;
+        }
+        return true;
+    }
+
     void watch()
     {
         m_isIdle = false;
@@ -400,6 +440,8 @@
     core::Time m_completeAt{};
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
     core::StorePoint m_newsAt; ///< Others know of a change there.
+    core::Time m_newsSince{}; ///< Since when the store's answer is awaited for them.
+    bool m_isReadingPeer = false; ///< A call to another daemon is under way.
     core::Duration m_sparing = core::Duration(0);
     std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
     bool m_isWatching = true;
--- a/packages/daemon/tests/feedrelay_test.cpp
+++ b/packages/daemon/tests/feedrelay_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <thread>
 
 using namespace sardinehinge;
 using namespace std::chrono_literals;
@@ -41,7 +42,7 @@
 /// A watcher that follows: it has listed {a: 1} at revision 10 and reads news from a peer whose answers the test gives.
 struct Follower
 {
-    Follower()
+    explicit Follower(bool isWatching = false)
         : watcher(context, feed,
                   {[this](const edges::FeedEntry<int> &entry) { values[entry.name] = entry.value.value_or(0); },
                    [](const auto &) {},
@@ -54,7 +55,7 @@
                    }},
                   timing())
     {
-        watcher.setWatching(false);
+        watcher.setWatching(isWatching);
         watcher.start();
         run();
     }
@@ -62,7 +63,8 @@
     static daemon::FeedTiming timing()
     {
         daemon::FeedTiming timing;
-        timing.pause = 1ms;
+        timing.pause = timing.retry = timing.retryMax = 1ms;
+        timing.newsWait = 50ms;
         return timing;
     }
 
@@ -157,6 +159,59 @@
     CHECK(follower.feed.watches.empty());
 }
 
+// Guards against news that a daemon misses, though others have it, while the store leaves its own call unanswered.
+TEST_CASE("News are read from another daemon if the store doesn't answer this one in time")
+{
+    enum class Store { Silent, Refusing, Answering };
+    struct Case
+    {
+        const char *name;
+        Store store;
+        bool isPeerRead; ///< Beside the own call.
+    };
+    const bool isWatching = GENERATE(true, false);
+    const auto [name, store, isPeerRead] = GENERATE(values<Case>({
+        {"the store is silent", Store::Silent, true},
+        {"the store refuses each call", Store::Refusing, true},
+        {"the store answers", Store::Answering, false},
+    }));
+    INFO(name << (isWatching ? ", watching" : ", following"));
+    Follower daemon(isWatching);
+    const auto runStore = [&, store = store] {
+        daemon.run();
+        std::this_thread::sleep_for(20ms); // run() returns early when nothing is due.
+        if (store == Store::Silent || daemon.feed.watches.empty())
+            return;
+        const auto answer = daemon.feed.watches.back();
+        daemon.feed.watches.clear();
+        store == Store::Refusing ? answer({edges::StoreOutcome::Refused, {}, 0, false, {}, 0, {}})
+                                 : answer({edges::StoreOutcome::Ok, {{"b", 2, {}}}, 20, false, {}, 1, {}});
+    };
+    const auto notify = [&] { daemon.watcher.told({20, 20, 0, 1}, 0ms); };
+    notify();
+    if (!isWatching) {
+        // A follower asks the other daemon first, which doesn't have the news yet.
+        REQUIRE(daemon.reads.size() == 1);
+        daemon.pending({});
+    }
+    const std::size_t before = daemon.reads.size();
+    runStore();
+    notify();
+    CHECK(daemon.reads.size() == before); // The store has some time.
+    for (int round = 0; round < 4; ++round)
+        runStore();
+    notify();
+    notify(); // One call at a time.
+    CHECK(daemon.reads.size() == before + (isPeerRead ? 1 : 0));
+    if (isPeerRead)
+        daemon.pending({{10, 20, "b 2"}});
+    CHECK(daemon.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
+    CHECK(daemon.watcher.position().completeTo == 20);
+    runStore();
+    notify();
+    CHECK(daemon.reads.size() == before + (isPeerRead ? 1 : 0)); // Nothing is missing any more.
+}
+
 TEST_CASE("An answer of a peer is dropped when a later era is known by then")
 {
     Follower follower;
--- a/packages/daemon/tests/pagedlist_test.cpp
+++ b/packages/daemon/tests/pagedlist_test.cpp
@@ -318,6 +318,53 @@
     CHECK(copy.known() == copy.store.objects);
 }
 
+// Guards against changes behind a list's reader that are lost when other daemons relay theirs meanwhile.
+TEST_CASE("A copy equals the store whatever other daemons relay at any moment of a paged list")
+{
+    struct Relay
+    {
+        const char *name;
+        bool passesOn; ///< The change itself.
+        bool notifies; ///< Of the store's position after the change.
+        bool notifiesBefore; ///< Of the position before it, as late datagrams do.
+    };
+    const bool isWatching = GENERATE(true, false);
+    const int callsBefore = GENERATE(1, 2, 3); // Answered before the change; the list has three pages.
+    const int callsBetween = GENERATE(0, 1, 2); // Answered between the change and what is relayed.
+    const Relay relay = GENERATE(values<Relay>({
+        {"nothing", false, false, false},
+        {"the change", true, false, false},
+        {"a notice", false, true, false},
+        {"the change and a notice", true, true, false},
+        {"a late notice", false, false, true},
+        {"the change and a late notice", true, false, true},
+    }));
+    INFO(relay.name << ", change after " << callsBefore << " calls, relayed after " << callsBetween << " more, "
+                    << (isWatching ? "watching" : "following"));
+    Copy copy(isWatching);
+    copy.settle(callsBefore);
+    // Five targets were put; the other daemon knew the latest of them.
+    constexpr std::uint64_t before = 15;
+    copy.store.put(targetOf("a", 1, true));
+    copy.store.put(targetOf("b", 1, true));
+    constexpr std::uint64_t afterFirst = before + 1;
+    constexpr std::uint64_t after = before + 2;
+    copy.settle(callsBetween);
+    // A datagram brings the first change only: the second one follows it, and is read from the sender or the store.
+    if (relay.passesOn)
+        copy.watcher.takeFrom({{"a", targetOf("a", 1, true), {}}}, before, afterFirst, 1);
+    if (relay.notifiesBefore)
+        copy.watcher.told({before, before, 0, 1}, daemon::bootTime());
+    if (relay.notifies)
+        copy.watcher.told({after, after, 0, 1}, daemon::bootTime());
+    copy.settle(12);
+    // The next notice comes within 0.3 s. By then a follower whose list was whole before the change knows of it.
+    copy.watcher.told({after, after + 1, 0, 1}, daemon::bootTime());
+    copy.run();
+    copy.settle(4);
+    CHECK(copy.known() == copy.store.objects);
+}
+
 // Guards against changes that are lost when another feed reports the store's return during the call for them.
 TEST_CASE("A follower that is notified of the store's return still learns what changed during its list")
 {
