--- a/packages/core/tests/gatewayparts_test.cpp
+++ b/packages/core/tests/gatewayparts_test.cpp
@@ -191,7 +191,7 @@
     }
 }
 
-// Guards against a departed target that stays in use because the store goes away after its removal was known.
+// Guards against a departed target that stays in use because an outage follows the news of its removal.
 TEST_CASE("An outage keeps an entry that may have lapsed, and none whose removal was known before it")
 {
     struct Outage
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -324,7 +324,7 @@
          0},
         {"cut, and the next call too", {Call::Cut, Call::Cut, Call::Answered}, 1, 1},
         {"cut, and the next calls too", {Call::Cut, Call::Cut, Call::Cut, Call::Answered}, 1, 2},
-        {"cut as the store goes away", {Call::Cut, Call::Refused, Call::Answered}, 1, 1},
+        {"cut as an outage begins", {Call::Cut, Call::Refused, Call::Answered}, 1, 1},
         {"no answer in time", {Call::Overdue, Call::Answered}, 0, 1},
         {"refused", {Call::Refused, Call::Answered}, 0, 1},
         {"cut after an outage", {Call::Refused, Call::Answered, Call::Cut, Call::Answered}, 1, 1},
