Log how a configuration reached an instance, late duties and a controller's work

Callers of the users saw versions in force late and reads by key not served. E636 names the way and the ages of a version that the control duty has, E600 how long it then waited for the traffic duty, E637 a failed read from another daemon, E638 a duty whose timer or lists are late, E639 each second the events, grants and processor time of a controller. No decision changes.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -288,6 +288,16 @@
 using ControlEffect = std::variant<ReadOwnership, WriteOwnership, ConnectTarget, RangeOrder, AnnounceOwners,
                                    SendHeartbeat, SendHeartbeatAck, SendResignation, ControlLogEntry>;
 
+/// Work of a controller in some time, for the log.
+struct ControlWork
+{
+    std::size_t ranges = 0; ///< Now.
+    std::size_t grants = 0; ///< Sent.
+    Duration latestRenewal = 0ms; ///< The longest time by which one was sent after it was due.
+
+    bool operator==(const ControlWork &) const = default;
+};
+
 /// Assigns the key ranges of one sharded service to targets. Each daemon runs one instance per service.
 ///
 /// A deterministic state machine without I/O: the caller passes in events and executes the returned effects.
@@ -338,6 +348,8 @@
     std::uint64_t term() const noexcept { return m_term; }
     /// The owners as last announced by this daemon.
     RangeOwners owners() const;
+    /// What has been done since the last call.
+    ControlWork takeWork() noexcept;
 
 private:
     enum class Role { Follower, Claiming, Controller };
@@ -544,6 +556,7 @@
     Time m_nextPlanAt = 0ms;
     Time m_inheritedLeaseExpiry = 0ms; ///< Leases of the predecessors known to have stopped have expired by then.
     std::uint64_t m_fenceCount = 0;
+    ControlWork m_work; ///< Since the last takeWork().
     std::uint64_t m_nextOrderId = 1;
     std::vector<RangeAssignment> m_assignments; ///< In order, without gaps; empty before the first assignment.
     std::map<std::uint64_t, PendingOrder> m_pendingOrders;
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -83,6 +83,12 @@
     return {m_service, m_term, m_announcementSequence, m_announcedRanges};
 }
 
+ControlWork RangeControl::takeWork() noexcept
+{
+    m_work.ranges = m_assignments.size();
+    return std::exchange(m_work, {});
+}
+
 void RangeControl::on(const ControlTick &)
 {
     if (m_role == Role::Controller) {
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -167,6 +167,9 @@
         assignment.unansweredSince = m_now;
     if (!prepareLink(address))
         return;
+    if (assignment.phase == Phase::Held)
+        m_work.latestRenewal = std::max(m_work.latestRenewal, m_now - assignment.nextOrderAt);
+    ++m_work.grants;
     const std::uint64_t id = m_nextOrderId++;
     // No two grants share a fence. A renewal may reach another process that has started at the target's address, and
     // must not grant it keys under a fence that the owner held them with.
--- a/packages/daemon/include/sardinehinge/daemon/worker.h
+++ b/packages/daemon/include/sardinehinge/daemon/worker.h
@@ -68,6 +68,12 @@
         return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
     }
 
+    /// The same as a duration.
+    core::Duration cpuTime()
+    {
+        return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(cpuSeconds()));
+    }
+
     /// A function that runs `task` on this worker's thread.
     std::function<void()> waker(std::function<void()> task)
     {
--- a/packages/daemon/src/feedrelay.cpp
+++ b/packages/daemon/src/feedrelay.cpp
@@ -70,7 +70,7 @@
 }
 
 void FeedRelay::read(const std::string &peerAddress, Kind kind, std::uint64_t revision, core::StoreEra era,
-                     std::function<void(Answers)> done)
+                     std::function<void(Answers, int status)> done)
 {
     const std::string address = peerAddress.substr(0, peerAddress.rfind(':')) + m_port;
     const http::Request request{"GET",
@@ -82,8 +82,9 @@
     http::ExchangeOptions options;
     options.timeout = readTimeout;
     m_client.send(address, request, options, [done = std::move(done)](const http::ExchangeResult &end) {
-        const bool isOk = end.outcome == http::ExchangeOutcome::Complete && end.response.status == statusOk;
-        done(isOk ? protocol::decodeFeedAnswers(end.response.body).value_or(Answers()) : Answers());
+        const int status = end.outcome == http::ExchangeOutcome::Complete ? end.response.status : 0;
+        done(status == statusOk ? protocol::decodeFeedAnswers(end.response.body).value_or(Answers()) : Answers(),
+             status);
     });
 }
 
--- a/packages/daemon/src/feedrelay.h
+++ b/packages/daemon/src/feedrelay.h
@@ -28,9 +28,9 @@
     /// the answers aren't all known here; 503: this daemon's link has no room for them.
     std::optional<http::Response> respond(const http::Request &request, core::Time now);
     /// Reads the answers after `revision` from the daemon whose datagrams come from `peerAddress`. Passes none if it
-    /// doesn't have them all, or doesn't answer in time.
+    /// doesn't have them all, or doesn't answer in time; with the response's status, 0 without one.
     void read(const std::string &peerAddress, Kind kind, std::uint64_t revision, core::StoreEra era,
-              std::function<void(Answers)> done);
+              std::function<void(Answers, int status)> done);
 
 private:
     http::Client m_client;
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,24 @@
     return timing;
 }
 
+/// How a change reached this daemon, for the log.
+struct FeedArrival
+{
+    enum class Way {
+        List,
+        Watch, ///< A call that waited at the store.
+        Call, ///< A call to the store for news that another daemon has.
+        Peer, ///< A read from another daemon.
+        Datagram, ///< Another daemon sent the change itself.
+    };
+
+    Way way = Way::List;
+    core::Time calledAt{}; ///< When the call or read that brought it was sent.
+    std::optional<core::Time> newsAt; ///< When another daemon's notice first showed a change that was missing here.
+
+    bool operator==(const FeedArrival &) const = default;
+};
+
 /// Keeps up with the objects of one kind: lists them, then either watches from there on or calls only for news that
 /// another daemon told of; lists again when history was lost or a later era of the store is seen, and takes nothing of
 /// an earlier one. Single-threaded, on the feed's io_context.
@@ -135,6 +154,7 @@
         eraSeen(era);
         if (!m_isListed || era < m_era || m_position.completeTo < base || m_position.completeTo >= revision)
             return;
+        m_arrival = {FeedArrival::Way::Datagram, bootTime(), missingSince()};
         for (const auto &entry : entries)
             m_handlers.changed(entry);
         m_position.changedAt = m_position.completeTo = revision;
@@ -144,6 +164,9 @@
     /// that they bring are later than this.
     core::Time completeAt() const noexcept { return m_completeAt; }
 
+    /// Of the entries that `changed` is called with.
+    const FeedArrival &arrival() const noexcept { return m_arrival; }
+
     /// Lists all entries again, although none is known to be missing.
     void listAnew()
     {
@@ -168,9 +191,16 @@
     void list()
     {
         m_list.begin();
+        m_listCalledAt = bootTime();
         listOn();
     }
 
+    /// When it was first known that changes are missing here; nothing if none are.
+    std::optional<core::Time> missingSince() const
+    {
+        return m_newsAt > m_position.complete() ? std::optional(m_newsFirstAt) : std::nullopt;
+    }
+
     /// Drops answers that are under way.
     void listAgain()
     {
@@ -223,6 +253,7 @@
     /// isn't known whether another entry has their name.
     bool takeUsed(const Page &page)
     {
+        m_arrival = {FeedArrival::Way::List, m_listCalledAt, missingSince()};
         Page used;
         std::copy_if(page.entries.begin(), page.entries.end(), std::back_inserter(used.entries),
                      [](const auto &entry) { return entry.value.has_value(); });
@@ -255,7 +286,7 @@
     {
         const core::Time now = bootTime();
         if (m_newsAt <= m_position.complete())
-            m_newsSince = now;
+            m_newsSince = m_newsFirstAt = now;
         m_newsAt = std::max(m_newsAt, news);
         if (m_isIdle)
             m_handlers.readPeer ? readPeer() : next();
@@ -291,24 +322,26 @@
         m_isIdle = false;
         m_isReadingPeer = true;
         const std::uint64_t before = m_position.completeTo;
-        m_handlers.readPeer(before, m_era, [this, before, round = m_round](const Answers &answers) {
+        const auto takeAnswers = [this, before, round = m_round, calledAt = bootTime()](const Answers &answers) {
             peerRead();
-            if (round != m_round || !takeRelayed(answers))
+            if (round != m_round || !takeRelayed(answers, calledAt))
                 return;
             const bool isBehind = m_newsAt > m_position.complete();
             isBehind &&m_position.completeTo > before ? readPeer() : next();
-        });
+        };
+        m_handlers.readPeer(before, m_era, takeAnswers);
     }
 
     /// The same while this daemon's own call is under way, or is tried again: the store may not answer it.
     void readPeerMeanwhile()
     {
         m_isReadingPeer = true;
-        m_handlers.readPeer(m_position.completeTo, m_era, [this, round = m_round](const Answers &answers) {
+        const auto takeAnswers = [this, round = m_round, calledAt = bootTime()](const Answers &answers) {
             peerRead();
-            if (round == m_round && !takeRelayed(answers))
+            if (round == m_round && !takeRelayed(answers, calledAt))
                 ++m_round; // A failure calls the store again, in place of the call under way.
-        });
+        };
+        m_handlers.readPeer(m_position.completeTo, m_era, takeAnswers);
     }
 
     /// What the other daemon doesn't have is awaited from the store first.
@@ -319,8 +352,9 @@
     }
 
     /// Takes what another daemon's watch brought, as far as it follows what is known. Returns false after a failure.
-    bool takeRelayed(const Answers &answers)
+    bool takeRelayed(const Answers &answers, core::Time calledAt)
     {
+        m_arrival = {FeedArrival::Way::Peer, calledAt, missingSince()};
         for (const core::FeedAnswer &answer : answers) {
             const Page page = m_feed.read(answer.source);
             const bool follows = m_position.completeTo >= answer.base && m_position.completeTo < answer.revision;
@@ -344,6 +378,7 @@
                 return;
             const core::Duration waited = bootTime() - calledAt;
             const bool isCut = m_isAnswering && page.outcome == edges::StoreOutcome::Lost && waited < wait;
+            m_arrival = {m_isWatching ? FeedArrival::Way::Watch : FeedArrival::Way::Call, calledAt, missingSince()};
             isCut ? checkAfterCut(waited, page.detail) : takeWatched(page, base);
         };
         m_feed.watch(m_position.completeTo, wait, answered);
@@ -441,6 +476,9 @@
     bool m_isHistoryLost = false; ///< The list under way replaces history that the store has dropped.
     core::StorePoint m_newsAt; ///< Others know of a change there.
     core::Time m_newsSince{}; ///< Since when the store's answer is awaited for them.
+    core::Time m_newsFirstAt{}; ///< When it was first known that there are any.
+    core::Time m_listCalledAt{}; ///< Of the list under way.
+    FeedArrival m_arrival;
     bool m_isReadingPeer = false; ///< A call to another daemon is under way.
     core::Duration m_sparing = core::Duration(0);
     std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -201,7 +201,8 @@
         if (service.isSharded)
             serviceOf(service.name).longestRequest = core::longestRequestTime(*entry.value, service.name);
     }
-    m_tellTraffic(GatewayConfigUpdate{*entry.value});
+    reportConfigReceived();
+    m_tellTraffic(GatewayConfigUpdate{*entry.value, bootTime()});
 }
 
 void GatewayControl::targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry)
@@ -312,7 +313,7 @@
     for (const auto &[name, service] : m_services) {
         run(name, core::ControlTargets{m_leaving.markDraining(name, targets)});
     }
-    m_tellTraffic(GatewayTargetsUpdate{std::move(targets)});
+    m_tellTraffic(GatewayTargetsUpdate{std::move(targets), now});
 }
 
 GatewayControl::Service &GatewayControl::serviceOf(const std::string &name)
@@ -325,6 +326,9 @@
 
 void GatewayControl::onTimer()
 {
+    const core::Time begin = bootTime();
+    reportLateness(begin, std::exchange(m_tickDue, begin + timerStep));
+    reportControlWork(begin);
     m_timer.expires_after(timerStep);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -361,6 +365,7 @@
     Service &state = serviceOf(service);
     if (state.control == nullptr)
         return;
+    countEvent(service, event);
     for (const core::ControlEffect &effect : state.control->handle(event, bootTime()))
         std::visit([this, &service](const auto &concrete) { act(service, concrete); }, effect);
 }
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -4,6 +4,7 @@
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
 
+#include <sardinehinge/core/admission/linebudget.h>
 #include <sardinehinge/core/balancing/coldtargets.h>
 #include <sardinehinge/core/daemonranking.h>
 #include <sardinehinge/core/leavingtargets.h>
@@ -54,6 +55,8 @@
     bool hasResigned() const noexcept { return m_hasResigned.load(); }
 
 private:
+    static constexpr std::uint32_t lateLinesPerSecond = 5;
+
     static void callAfter(boost::asio::steady_timer &timer, core::Duration wait, std::function<void()> action);
 
     /// One sharded service.
@@ -64,6 +67,7 @@
         core::Duration longestRequest{}; ///< By the configuration; see core::longestRequestTime().
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
         core::Time evacuatingSince{};
+        std::array<std::uint32_t, std::variant_size_v<core::ControlEvent>> events{}; ///< Since the last report.
         std::vector<core::KeyRange> evacuatingKeys; ///< That may not have left the evacuated failure domains yet.
     };
 
@@ -104,6 +108,13 @@
     void tellLeaving(core::Time now);
     void takeOwners(const core::RangeOwners &owners, const std::string &from);
 
+    // Where the time goes. In gatewaycontrol_reports.cpp.
+    void reportConfigReceived();
+    void reportFeedReadFailed(const char *kind, const std::string &from, int status, core::Duration taken);
+    void countEvent(const std::string &service, const core::ControlEvent &event);
+    void reportLateness(core::Time now, core::Time due);
+    void reportControlWork(core::Time now);
+
     // Permits for rate-limited targets. In gatewaycontrol_permits.cpp.
     void take(const core::AskPermits &request);
     void carryOut(const core::PermitBroker::Effects &effects);
@@ -212,6 +223,12 @@
     bool m_isWatchingPermits = false;
     core::Time m_nextWhole{}; ///< When the next whole list of owners may be sent.
     std::map<std::string, Service> m_services;
+    core::LineBudget m_lateLines{lateLinesPerSecond};
+    core::Time m_tickDue{}; ///< Of the timer.
+    core::Duration m_tickCpu{}; ///< Processor time of the duty when the timer last fired.
+    std::size_t m_eventsSinceTick = 0;
+    core::Time m_workReportedAt{};
+    core::Duration m_workCpu{}; ///< Processor time of the duty at the last report.
 };
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaycontrol_watches.cpp
+++ b/packages/daemon/src/gatewaycontrol_watches.cpp
@@ -1,5 +1,6 @@
 #include "gatewaycontrol.h"
 #include "milliseconds.h"
+#include "watchmodename.h"
 
 #include <sardinehinge/core/eventnumbers.h>
 #include <sardinehinge/core/text.h>
@@ -19,19 +20,6 @@
 /// Changes of targets that are told to the others; more at once would hold up a narrow link, so they read them.
 constexpr std::size_t mostPassedOn = 12;
 
-const char *nameOf(core::WatchRoster::Mode mode)
-{
-    switch (mode) {
-    case core::WatchRoster::Mode::Standalone:
-        return "alone";
-    case core::WatchRoster::Mode::Watching:
-        return "watching";
-    case core::WatchRoster::Mode::Following:
-        return "following";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 /// A watching daemon takes in changes quickly, since all others learn of them from it.
@@ -95,10 +83,15 @@
     const auto peer = m_peers.find(m_newsFrom);
     if (peer == m_peers.end())
         return done({});
-    m_relay.read(peer->second.address, kind, revision, era, [this, done](const FeedRelay::Answers &answers) {
-        (answers.empty() ? m_metrics.feedReadsFailed : m_metrics.feedReads).Increment();
-        done(answers);
-    });
+    const auto read
+        = [this, done, kind, from = m_newsFrom, begin = bootTime()](const FeedRelay::Answers &answers, int status) {
+              (answers.empty() ? m_metrics.feedReadsFailed : m_metrics.feedReads).Increment();
+              if (answers.empty())
+                  reportFeedReadFailed(kind == FeedRelay::Kind::Configs ? "configs" : "targets", from, status,
+                                       bootTime() - begin);
+              done(answers);
+          };
+    m_relay.read(peer->second.address, kind, revision, era, read);
 }
 
 /// Tells the others of a few changed targets themselves, which saves each of them a call.
--- a/packages/daemon/src/gatewaymessages.h
+++ b/packages/daemon/src/gatewaymessages.h
@@ -11,11 +11,13 @@
 struct GatewayConfigUpdate
 {
     core::GatewayConfig config;
+    core::Time sentAt{};
 };
 
 struct GatewayTargetsUpdate
 {
     std::vector<core::RegisteredTarget> targets;
+    core::Time sentAt{};
 };
 
 struct GatewayOwnersUpdate
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -25,6 +25,9 @@
 /// A caller that reads nothing of its answer for so long is given up.
 constexpr std::chrono::seconds writeTime(20);
 
+/// A list of targets that has waited for so long is reported.
+constexpr std::chrono::milliseconds noticeableDelay(100);
+
 /// When a caller may come again that found no room for its request.
 constexpr std::chrono::seconds noRoomRetryAfter(1);
 
@@ -305,14 +308,27 @@
     }
     m_events.record(Severity::Info, core::events::gatewayConfigInForce,
                     "version=" + std::to_string(update.config.version)
-                        + " routes=" + std::to_string(update.config.routes.size()));
+                        + " routes=" + std::to_string(update.config.routes.size())
+                        + " waited_ms=" + std::to_string(milliseconds(bootTime() - update.sentAt)));
     m_isReady.store(m_hasTargets && !m_isStopping.load());
 }
 
 void GatewayTraffic::take(const GatewayTargetsUpdate &update)
 {
     m_hasTargets = true;
-    carryOut(m_router.setTargets(update.targets, bootTime()));
+    const core::Time begin = bootTime();
+    ++m_targetUpdates;
+    if (begin - update.sentAt >= noticeableDelay) {
+        const core::Duration used = m_worker.cpuTime();
+        if (const auto suppressed = m_lateLines.take(begin))
+            m_events.record(Severity::Warning, core::events::dutyLate,
+                            "duty=traffic late_ms=" + std::to_string(milliseconds(begin - update.sentAt))
+                                + " target_lists=" + std::to_string(std::exchange(m_targetUpdates, 0))
+                                + " cpu_ms=" + std::to_string(milliseconds(used - m_lateCpu))
+                                + " suppressed=" + std::to_string(*suppressed));
+        m_lateCpu = used;
+    }
+    carryOut(m_router.setTargets(update.targets, begin));
     surveyTargets(bootTime());
     m_isReady.store(m_router.hasConfig() && !m_isStopping.load());
 }
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -133,6 +133,9 @@
     core::GatewayRouter m_router;
     core::LineBudget m_refusalLines{limitLinesPerSecond};
     core::LineBudget m_displacedLines{limitLinesPerSecond};
+    core::LineBudget m_lateLines{limitLinesPerSecond};
+    std::size_t m_targetUpdates = 0; ///< Since the last line on a late one.
+    core::Duration m_lateCpu{}; ///< Processor time at that line.
     Ring<ToTraffic> m_updates;
     std::unordered_map<std::uint64_t, Exchange> m_exchanges;
     std::set<std::string> m_shardedServices;
--- a/packages/daemon/tests/feedrelay_test.cpp
+++ b/packages/daemon/tests/feedrelay_test.cpp
@@ -251,7 +251,7 @@
     daemon::FeedRelay reading(context, settingsFor("127.0.0.1:" + std::to_string(server.port())));
     std::optional<std::size_t> count;
     reading.read("127.0.0.1:9", daemon::FeedRelay::Kind::Targets, revision, era,
-                 [&count](const daemon::FeedRelay::Answers &read) { count = read.size(); });
+                 [&count](const daemon::FeedRelay::Answers &read, int) { count = read.size(); });
     const auto limit = std::chrono::steady_clock::now() + 10s;
     while (!count && std::chrono::steady_clock::now() < limit)
         context.run_one_for(100ms);
