Count a target's silence from an order that was sent to it

Callers saw reads by key refused for seconds. A controller that is short of processor time took targets for lost to which it had sent no order: the time without a response began when a grant was due, also while this daemon had yet to open a connection or to have it confirmed. Their keys stayed without an owner until leases of up to 8 s had ended, and went to fewer targets.

A target that accepts no connection is still lost after two failed connections, one that is silent 1.2 s after the first order.

--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -163,10 +163,11 @@
 void RangeControl::sendGrant(RangeAssignment &assignment)
 {
     const std::string address = addressOf(assignment.owned.owner.id);
-    if (assignment.unansweredSince == 0ms)
-        assignment.unansweredSince = m_now;
     if (!prepareLink(address))
         return;
+    // A target can only be blamed for silence after an order, not for this daemon's connection or confirmation.
+    if (assignment.unansweredSince == 0ms)
+        assignment.unansweredSince = m_now;
     if (assignment.phase == Phase::Held)
         m_work.latestRenewal = std::max(m_work.latestRenewal, m_now - assignment.nextOrderAt);
     ++m_work.grants;
