Let a controller's events cost little however many ranges it has

Callers saw reads by key refused and configurations late at the instance that controls the service. Each event of a controller, also a load report or a refused key of any daemon, looked up the target of every range, went through all peers for each voter and wrote the whole announcement to compare it.

Evidence: 504 targets and 295 daemons, full speed, x86-64: 100 us an event, and 325 us for an unchanged list of targets; beside some 600 load reports and 250 renewals a second.

A range whose owner is ready and that no order is due for is passed over, the announcement is compared in place, and peers are looked up by id. Nothing is decided otherwise. Measured the same way: 17 to 19 us, and 57 us for the list.

--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -378,6 +378,7 @@
         std::string destination; ///< Id of the next owner; empty until it is chosen.
         bool isWritePending = false; ///< The pending write records the range for `destination`.
         std::uint32_t failedConnections = 0; ///< Consecutive.
+        std::uint64_t checkedTargets = 0; ///< The owner is a ready target in this revision of m_targets.
     };
 
     /// The connections to a target's address.
@@ -475,6 +476,8 @@
 
     // Range assignment. In rangecontrol_ranges.cpp.
     void advanceRanges();
+    /// Whether advance() has nothing to do for the range: its owner is ready, and no order is due or unanswered.
+    bool isSettled(const RangeAssignment &assignment) const noexcept;
     void advance(RangeAssignment &assignment);
     void sendGrant(RangeAssignment &assignment);
     void startRelease(RangeAssignment &assignment, const std::string &destination);
@@ -504,6 +507,11 @@
     bool hasPendingGrant(const RangeAssignment &assignment) const;
     std::string addressOf(const std::string &target) const;
     void announceIfChanged();
+    static RangeState routedState(const RangeAssignment &assignment, bool hasStoreContact) noexcept;
+    template<typename Take>
+    void visitRouted(Take take) const;
+    std::vector<RoutedRange> routedRanges() const;
+    bool isAnnounced() const;
     void logEvent(std::uint32_t event, std::string detail);
 
     std::string m_service;
@@ -524,8 +532,10 @@
     Duration m_controllerStoreAge = 0ms;
     Time m_nextClaimAt = 0ms;
     std::vector<PeerDaemon> m_peers;
+    std::map<std::string, std::uint64_t> m_peerIncarnations; ///< The latest of each peer.
     std::uint32_t m_ownLinkMbps = 0;
     std::map<std::string, RegisteredTarget> m_targets;
+    std::uint64_t m_targetsRevision = 1; ///< Rises with each change of m_targets.
     Time m_targetsChangedAt = 0ms; ///< When a target last joined.
     std::map<std::string, std::string> m_addresses; ///< Last known, including targets that are no longer registered.
     std::map<std::string, Time> m_cooldownUntil; ///< By lost target: it gets no new ranges until then.
--- a/packages/core/src/rangecontrol.cpp
+++ b/packages/core/src/rangecontrol.cpp
@@ -319,9 +319,8 @@
         return true;
     if (identity.id == m_self.id)
         return identity.incarnation != m_self.incarnation;
-    return std::any_of(m_peers.begin(), m_peers.end(), [&identity](const PeerDaemon &peer) {
-        return peer.id == identity.id && peer.incarnation > identity.incarnation;
-    });
+    const auto known = m_peerIncarnations.find(identity.id);
+    return known != m_peerIncarnations.end() && known->second > identity.incarnation;
 }
 
 Time RangeControl::majorityConfirmedAt(const std::vector<DaemonIdentity> &voters, StoreEra era) const
@@ -593,6 +592,11 @@
 void RangeControl::on(const ControlPeers &event)
 {
     m_peers = event.peers;
+    m_peerIncarnations.clear();
+    for (const PeerDaemon &peer : m_peers) {
+        std::uint64_t &latest = m_peerIncarnations[peer.id];
+        latest = std::max(latest, peer.incarnation);
+    }
     m_ownLinkMbps = event.ownLinkMbps;
 }
 
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -70,6 +70,11 @@
 {
     if (event.targets.size() > m_targets.size())
         m_targetsChangedAt = m_now;
+    const bool isSame = std::equal(event.targets.begin(), event.targets.end(), m_targets.begin(), m_targets.end(),
+                                   [](const auto &target, const auto &known) { return target == known.second; });
+    if (isSame)
+        return;
+    ++m_targetsRevision;
     m_targets.clear();
     std::erase_if(m_rateLimits, [&event](const auto &limit) {
         return std::none_of(event.targets.begin(), event.targets.end(),
@@ -115,9 +120,15 @@
         advance(assignment);
 }
 
+bool RangeControl::isSettled(const RangeAssignment &assignment) const noexcept
+{
+    return assignment.checkedTargets == m_targetsRevision && assignment.unansweredSince == 0ms
+        && (assignment.phase == Phase::Granting || assignment.phase == Phase::Held) && m_now < assignment.nextOrderAt;
+}
+
 void RangeControl::advance(RangeAssignment &assignment)
 {
-    if (assignment.phase == Phase::Free)
+    if (assignment.phase == Phase::Free || isSettled(assignment))
         return;
     const RegisteredTarget *target = findTarget(assignment.owned.owner.id);
     if (target != nullptr && target->identity.incarnation > assignment.owned.owner.incarnation
@@ -132,6 +143,8 @@
             startExpiry(assignment, "no response to orders");
         else if (m_now >= assignment.nextOrderAt)
             sendGrant(assignment);
+        if (target != nullptr && !target->isDraining)
+            assignment.checkedTargets = m_targetsRevision;
         break;
     case Phase::Releasing:
         if (m_now >= assignment.releaseDeadline)
@@ -494,6 +507,7 @@
         assignment.owned = *recorded;
         assignment.initialFence = recorded->fence;
         assignment.phase = Phase::Granting;
+        assignment.checkedTargets = 0;
         assignment.isInherited = false;
         assignment.destination.clear();
         assignment.leaseExpiry = m_now;
@@ -592,28 +606,69 @@
     m_assignments = std::move(merged);
 }
 
-void RangeControl::announceIfChanged()
+RangeState RangeControl::routedState(const RangeAssignment &assignment, bool hasStoreContact) noexcept
 {
-    if (m_now < m_nextAnnouncementAt)
-        return;
-    std::vector<RoutedRange> ranges;
+    if (assignment.phase == Phase::Held || (assignment.phase == Phase::Granting && assignment.isInherited))
+        return RangeState::Held;
+    const bool isLost = assignment.phase == Phase::Expiring || (assignment.phase == Phase::Free && !hasStoreContact);
+    return isLost ? RangeState::OwnerLost : RangeState::Moving;
+}
+
+/// Passes the ranges as routers see them to `take` one by one, until it returns false. Adjacent ranges with the same
+/// owner and state are one.
+template<typename Take>
+void RangeControl::visitRouted(Take take) const
+{
+    static const std::string noOwner;
     const bool hasStoreContact = m_now - m_storeConfirmedAt < m_timing.storeContactTimeout;
-    for (const RangeAssignment &assignment : m_assignments) {
-        RangeState state = RangeState::Moving;
-        if (assignment.phase == Phase::Held || (assignment.phase == Phase::Granting && assignment.isInherited))
-            state = RangeState::Held;
-        else if (assignment.phase == Phase::Expiring || (assignment.phase == Phase::Free && !hasStoreContact))
-            state = RangeState::OwnerLost;
+    for (auto next = m_assignments.begin(); next != m_assignments.end();) {
+        KeyRange range = next->owned.range;
+        const RangeState state = routedState(*next, hasStoreContact);
         // Routers don't need the owner of a moving range. Omitting it saves announcements.
-        const std::string owner = state == RangeState::Moving ? std::string() : assignment.owned.owner.id;
-        if (!ranges.empty() && ranges.back().owner == owner && ranges.back().state == state)
-            ranges.back().range.last = assignment.owned.range.last;
-        else
-            ranges.push_back({assignment.owned.range, owner, state});
+        const auto ownerOf = [state](const RangeAssignment &assignment) -> const std::string & {
+            return state == RangeState::Moving ? noOwner : assignment.owned.owner.id;
+        };
+        const std::string &owner = ownerOf(*next);
+        for (++next;
+             next != m_assignments.end() && routedState(*next, hasStoreContact) == state && ownerOf(*next) == owner;
+             ++next)
+            range.last = next->owned.range.last;
+        if (!take(range, owner, state))
+            return;
     }
-    if (ranges == m_announcedRanges || ranges.empty())
+}
+
+std::vector<RoutedRange> RangeControl::routedRanges() const
+{
+    std::vector<RoutedRange> ranges;
+    visitRouted([&ranges](const KeyRange &range, const std::string &owner, RangeState state) {
+        ranges.push_back({range, owner, state});
+        return true;
+    });
+    return ranges;
+}
+
+/// Compares without a copy of the ranges: every event comes here.
+bool RangeControl::isAnnounced() const
+{
+    std::size_t count = 0;
+    bool isSame = true;
+    visitRouted([&](const KeyRange &range, const std::string &owner, RangeState state) {
+        isSame = count < m_announcedRanges.size() && m_announcedRanges[count].range == range
+            && m_announcedRanges[count].state == state && m_announcedRanges[count].owner == owner;
+        ++count;
+        return isSame;
+    });
+    return isSame && count == m_announcedRanges.size();
+}
+
+void RangeControl::announceIfChanged()
+{
+    if (m_now < m_nextAnnouncementAt)
+        return;
+    if (m_assignments.empty() || isAnnounced())
         return;
-    m_announcedRanges = std::move(ranges);
+    m_announcedRanges = routedRanges();
     m_nextAnnouncementAt = m_now + m_timing.announcementIntervalPerPeer * static_cast<Duration::rep>(m_peers.size());
     ++m_announcementSequence;
     m_effects.emplace_back(AnnounceOwners{owners()});
