Ask the store at once when the notices of the watching daemons end

A daemon without a recent notice asks the store itself, 0.4 s before the bound of a change at the latest. If it had just taken in other changes, that call waited for the pause between changes first, up to 0.8 s in a fleet of 90 and more: later than the bound.

The new test failed on the code before for pauses of 99 and 800 ms. The pause still spaces the calls of a daemon that has notices.

--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -110,12 +110,17 @@
     }
 
     void start() { list(); }
-    /// Whether to keep a call waiting at the store all the time.
+    /// Whether to keep a call waiting at the store all the time. Who begins to may have had no notices for most of the
+    /// time that a change has, so the first call waits for no pause.
     void setWatching(bool isWatching)
     {
+        const bool begins = isWatching && !m_isWatching;
         m_isWatching = isWatching;
-        if (m_isIdle && isWatching)
-            next();
+        if (begins && (m_isIdle || m_isPausing)) {
+            m_timer.cancel();
+            ++m_round;
+            watch();
+        }
     }
     /// Calls at most once in `pause` for changes, whoever told of them; 0: as often as FeedTiming says. For daemons
     /// that nobody else depends on.
@@ -207,7 +212,7 @@
         m_timer.cancel();
         ++m_round;
         m_isListed = false;
-        m_isIdle = false;
+        m_isIdle = m_isPausing = false;
         list();
     }
 
@@ -311,9 +316,12 @@
         const auto pause = std::max(m_timing.pause, m_sparing);
         const auto left = pause - (std::chrono::steady_clock::now() - m_changedAt);
         if (left <= core::Duration(0))
-            watch();
-        else
-            after(left, [this] { watch(); });
+            return watch();
+        m_isPausing = true;
+        after(left, [this, round = m_round] {
+            if (round == m_round)
+                watch();
+        });
     }
 
     /// Reads the news from another daemon, and from the store what that one doesn't have.
@@ -369,7 +377,7 @@
 
     void watch()
     {
-        m_isIdle = false;
+        m_isIdle = m_isPausing = false;
         const auto wait = !m_isAnswering ? m_timing.checkWait : m_isWatching ? m_timing.wait : m_timing.catchUpWait;
         // Later changes may come from another daemon before the answer does.
         const std::uint64_t base = m_position.changedAt;
@@ -484,6 +492,7 @@
     std::chrono::steady_clock::time_point m_changedAt{}; ///< When changes last came.
     bool m_isWatching = true;
     bool m_isIdle = false; ///< No call is under way, and none is due.
+    bool m_isPausing = false; ///< The next call waits for the pause after changes.
     bool m_isListed = false;
     bool m_isAnswering = true; ///< The store has answered the last call.
     std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are dropped.
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -118,6 +118,35 @@
     CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
 }
 
+TEST_CASE("A daemon that has no more notices asks the store at once, also within the pause after changes")
+{
+    struct Case
+    {
+        core::Duration sparing;
+        bool isPausing; ///< News are known already, and the call for them waits for the pause.
+    };
+    const auto [sparing, isPausing]
+        = GENERATE(values<Case>({{0ms, false}, {99ms, false}, {800ms, false}, {800ms, true}}));
+    Listed following(false);
+    following.watcher.setSparing(sparing);
+    following.watcher.told({31, 31}, 0ms);
+    following.run();
+    // The list began a pause.
+    if (following.feed.calls.empty())
+        following.context.run_for(sparing);
+    REQUIRE(following.feed.calls.size() == 1);
+    following.feed.answer({{"b", 2, {}}}, 31);
+    if (isPausing)
+        following.watcher.told({41, 41}, 0ms);
+    following.run();
+    REQUIRE(following.feed.calls.empty());
+    following.watcher.setWatching(true);
+    following.run();
+    REQUIRE(following.feed.calls.size() == 1);
+    following.feed.answer({{"c", 3, {}}}, 41);
+    CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}, {"c", 3}});
+}
+
 TEST_CASE("Changes that another daemon passes on save a call, unless some before them are missing")
 {
     struct Case
