Hand a configuration over again if the traffic duty's ring was full

The ring between the duties is bounded, and what found it full was dropped: a configuration, the targets or the owners stayed as they were until the next change, and a version never came into force at that instance. Found by reading the code for the late configurations; no play has shown it.

The timer hands over what was not taken, in its latest state. The new test failed on the code before.

--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -202,7 +202,8 @@
             serviceOf(service.name).longestRequest = core::longestRequestTime(*entry.value, service.name);
     }
     reportConfigReceived();
-    m_tellTraffic(GatewayConfigUpdate{*entry.value, bootTime()});
+    m_untoldConfig = *entry.value;
+    handOver();
 }
 
 void GatewayControl::targetChanged(const edges::FeedEntry<core::RegisteredTarget> &entry)
@@ -308,14 +309,26 @@
     for (const std::string &id : m_registry.expire(now))
         m_events.record(Severity::Info, core::events::targetRemoved, "target=" + core::logValue(id));
     const bool hasMarkChanged = takeEvacuationChanges(now) || std::exchange(m_hasColdChanged, false);
-    if (!m_registry.takeChanged() && !hasMarkChanged)
+    if (!m_registry.takeChanged() && !hasMarkChanged && !m_areTargetsUntold)
         return;
     m_publishedAt = now;
     auto targets = knownTargets(now);
     for (const auto &[name, service] : m_services) {
         run(name, core::ControlTargets{m_leaving.markDraining(name, targets)});
     }
-    m_tellTraffic(GatewayTargetsUpdate{std::move(targets), now});
+    m_areTargetsUntold = !m_tellTraffic(GatewayTargetsUpdate{std::move(targets), now});
+}
+
+/// Hands the configuration and owners that the traffic duty lacks to it. Its ring is bounded: what finds it full is
+/// handed over by the timer, in its latest state.
+void GatewayControl::handOver()
+{
+    if (m_untoldConfig && m_tellTraffic(GatewayConfigUpdate{*m_untoldConfig, bootTime()}))
+        m_untoldConfig.reset();
+    for (auto &[name, service] : m_services) {
+        if (service.areOwnersUntold)
+            service.areOwnersUntold = !m_tellTraffic(GatewayOwnersUpdate{service.owners});
+    }
 }
 
 GatewayControl::Service &GatewayControl::serviceOf(const std::string &name)
@@ -337,6 +350,7 @@
             onTimer();
     });
     shareWatches();
+    handOver();
     if (hasLists())
         publishTargets();
     const core::Time now = bootTime();
@@ -491,7 +505,8 @@
                         + " term=" + std::to_string(owners.term) + " sequence=" + std::to_string(owners.sequence)
                         + " ranges=" + std::to_string(owners.ranges.size()));
     reportEvacuated(owners.service);
-    m_tellTraffic(GatewayOwnersUpdate{owners});
+    service.areOwnersUntold = true;
+    handOver();
 }
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/tests/gatewaycontrol_test.cpp
+++ b/packages/daemon/tests/gatewaycontrol_test.cpp
@@ -258,6 +258,7 @@
     }
 
     FakeStore store;
+    bool isTrafficFull = false; ///< The traffic duty takes no updates. Guarded by the store's mutex.
     std::vector<std::uint64_t> versions; ///< Configurations put in force. Guarded by the store's mutex.
     std::optional<std::vector<core::RegisteredTarget>>
         published; ///< To the traffic duty. Guarded by the store's mutex.
@@ -274,6 +275,8 @@
     bool take(const daemon::ToTraffic &update)
     {
         const std::lock_guard lock(store.mutex);
+        if (isTrafficFull)
+            return false;
         if (const auto *config = std::get_if<daemon::GatewayConfigUpdate>(&update))
             versions.push_back(config->config.version);
         if (const auto *targets = std::get_if<daemon::GatewayTargetsUpdate>(&update))
@@ -310,6 +313,26 @@
     CHECK(control.count(core::events::storeEraSeen) == 2);
 }
 
+TEST_CASE("A configuration and targets that find the traffic duty's ring full are handed over later")
+{
+    Control control;
+    control.change([&control](FakeStore &) { control.isTrafficFull = true; });
+    control.putConfig(4);
+    control.change([](FakeStore &store) {
+        core::RegisteredTarget target;
+        target.identity = {"target", 1};
+        target.address = "127.0.0.1:1";
+        store.targets["target"] = {target, ++store.revision};
+    });
+    REQUIRE(control.waitFor([&] { return control.count(core::events::targetRegistered) == 1; }, 2s));
+    REQUIRE(control.waitFor([&] { return control.count(core::events::gatewayConfigReceived) == 1; }, 2s));
+    control.putConfig(5);
+    REQUIRE(control.waitFor([&] { return control.count(core::events::gatewayConfigReceived) == 2; }, 2s));
+    control.change([&control](FakeStore &) { control.isTrafficFull = false; });
+    CHECK(control.waitFor([&] { return control.versions == std::vector<std::uint64_t>{5}; }, 2s));
+    CHECK(control.waitFor([&] { return control.published && control.published->size() == 1; }, 2s));
+}
+
 TEST_CASE("A daemon's entry that a store has lost is written again, and the entries of others are read")
 {
     Control control;
