Read all waiting datagrams of a turn, and news before load reports

Callers saw an older configuration handled, and requests at targets that had left, at the instance that controls a service. A daemon read one datagram in a turn of its event loop. Load reports and refused keys of all daemons go to the controller; beside hundreds of connections a turn takes long, so a notice of a change waited in the socket behind them, or found it full, and each further step of its way waited for a turn again.

Up to 256 datagrams are read in a turn, and reports of load and refused keys are handled after the others.

--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -98,6 +98,7 @@
                     [this](core::Duration waited, const std::string &detail) { watchCut("targets", waited, detail); }},
                    targetFeedTiming(rosterTiming(settings).watchWait))
     , m_socket(m_worker.context())
+    , m_inbox(m_socket, inboxHandlers())
     , m_reports(reportRing, m_worker.waker([this] {
         m_reports.drain(
             [this](const FromTraffic &report) { std::visit([this](const auto &each) { take(each); }, report); });
@@ -139,7 +140,7 @@
     m_socket.non_blocking(true, error);
     if (auto listening = m_metricsServer.listen(m_settings.metricsAddress); core::errorIn(listening) != nullptr)
         return listening;
-    receive();
+    m_inbox.start();
     boost::asio::post(m_worker.context(), [this] {
         // The roster decides who keeps calls waiting at the store.
         m_configs.setWatching(false);
@@ -303,34 +304,6 @@
     });
 }
 
-void GatewayControl::publishTargets()
-{
-    const core::Time now = bootTime();
-    for (const std::string &id : m_registry.expire(now))
-        m_events.record(Severity::Info, core::events::targetRemoved, "target=" + core::logValue(id));
-    const bool hasMarkChanged = takeEvacuationChanges(now) || std::exchange(m_hasColdChanged, false);
-    if (!m_registry.takeChanged() && !hasMarkChanged && !m_areTargetsUntold)
-        return;
-    m_publishedAt = now;
-    auto targets = knownTargets(now);
-    for (const auto &[name, service] : m_services) {
-        run(name, core::ControlTargets{m_leaving.markDraining(name, targets)});
-    }
-    m_areTargetsUntold = !m_tellTraffic(GatewayTargetsUpdate{std::move(targets), now});
-}
-
-/// Hands the configuration and owners that the traffic duty lacks to it. Its ring is bounded: what finds it full is
-/// handed over by the timer, in its latest state.
-void GatewayControl::handOver()
-{
-    if (m_untoldConfig && m_tellTraffic(GatewayConfigUpdate{*m_untoldConfig, bootTime()}))
-        m_untoldConfig.reset();
-    for (auto &[name, service] : m_services) {
-        if (service.areOwnersUntold)
-            service.areOwnersUntold = !m_tellTraffic(GatewayOwnersUpdate{service.owners});
-    }
-}
-
 GatewayControl::Service &GatewayControl::serviceOf(const std::string &name)
 {
     Service &service = m_services[name];
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -3,6 +3,7 @@
 #include "feedrelay.h"
 #include "feedwatcher.h"
 #include "gatewaymessages.h"
+#include "peerinbox.h"
 
 #include <sardinehinge/core/admission/linebudget.h>
 #include <sardinehinge/core/balancing/coldtargets.h>
@@ -163,8 +164,8 @@
     void takePeers(const edges::FeedPage<core::PeerDaemon> &page);
     void addPeer(const core::PeerDaemon &peer);
     void publishPeers();
-    void receive();
-    void received(const std::string &bytes, const boost::asio::ip::udp::endpoint &source);
+    PeerInbox::Handlers inboxHandlers();
+    void received(const protocol::GatewayDatagram &datagram, const boost::asio::ip::udp::endpoint &source);
     void heard(const std::string &from, const core::RangeOwners &message);
     void heard(const std::string &from, const core::RangeOwnersChange &message);
     void heard(const std::string &from, const core::ControllerHeartbeat &message);
@@ -198,8 +199,7 @@
     FeedWatcher<core::RegisteredTarget> m_targetFeed;
     std::optional<FeedWatcher<core::Evacuation>> m_evacuationFeed; ///< If the deployment has evacuations.
     boost::asio::ip::udp::socket m_socket;
-    std::array<char, 65'536> m_buffer{};
-    boost::asio::ip::udp::endpoint m_from;
+    PeerInbox m_inbox;
     Ring<FromTraffic> m_reports;
     core::DaemonIdentity m_self;
     bool m_hasEntered = false;
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -139,30 +139,22 @@
         run(name, core::ControlPeers{peers, m_settings.linkMbps});
 }
 
-void GatewayControl::receive()
+PeerInbox::Handlers GatewayControl::inboxHandlers()
 {
-    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_from,
-                                [this](const boost::system::error_code &error, std::size_t bytes) {
-                                    if (error == boost::asio::error::operation_aborted)
-                                        return;
-                                    const std::string datagram(m_buffer.data(), error ? 0 : bytes);
-                                    const auto from = m_from;
-                                    receive(); // First, so that a datagram that can't be handled doesn't end it.
-                                    if (!error)
-                                        received(datagram, from);
-                                });
+    return {[this](const auto &datagram, const auto &source) { received(datagram, source); },
+            [this](const std::string &fault, const auto &source) {
+                m_events.record(Severity::Warning, core::events::peerMessageRefused,
+                                source.address().to_string() + ": " + fault);
+            },
+            [this](const std::string &error) {
+                m_events.record(Severity::Error, core::events::taskFailed,
+                                "duty=control detail=" + core::logValue(error));
+            },
+            [this](std::size_t bytes) { m_metrics.peerBytesIn.Increment(static_cast<double>(bytes)); }};
 }
 
-void GatewayControl::received(const std::string &bytes, const boost::asio::ip::udp::endpoint &source)
+void GatewayControl::received(const protocol::GatewayDatagram &datagram, const boost::asio::ip::udp::endpoint &source)
 {
-    m_metrics.peerBytesIn.Increment(static_cast<double>(bytes.size()));
-    auto result = protocol::decodeGateway(bytes);
-    if (const core::Error *error = core::errorIn(result)) {
-        m_events.record(Severity::Warning, core::events::peerMessageRefused,
-                        source.address().to_string() + ": " + error->detail);
-        return;
-    }
-    const auto &datagram = std::get<protocol::GatewayDatagram>(result);
     const std::string from = datagram.sender.id;
     if (from == m_self.id)
         return;
