--- a/packages/core/include/sardinehinge/core/rangecontrol.h
+++ b/packages/core/include/sardinehinge/core/rangecontrol.h
@@ -294,7 +294,7 @@
     std::size_t ranges = 0; ///< Now.
     std::size_t grants = 0; ///< Sent.
     Duration latestRenewal = 0ms; ///< The longest time by which one was sent after it was due.
-    std::size_t rangeChecks = 0; ///< Of single ranges, for orders that are due or owners that have changed.
+    std::size_t rangeChecks = 0; ///< Ranges that were gone into, for orders that are due or changed targets.
 
     bool operator==(const ControlWork &) const = default;
 };
@@ -576,8 +576,8 @@
     std::uint64_t m_nextOrderId = 1;
     std::vector<RangeAssignment> m_assignments; ///< In order, without gaps; empty before the first assignment.
     std::map<std::uint64_t, PendingOrder> m_pendingOrders;
-    std::map<std::string, TargetLink> m_links;
-    std::size_t m_openingLinks = 0; ///< Of m_links. ///< By address.
+    std::map<std::string, TargetLink> m_links; ///< By address.
+    std::size_t m_openingLinks = 0; ///< Of m_links.
     bool m_isLinkUnconfirmed = false; ///< A grant waits for the confirmation of its connection.
     Time m_linkReadAt = 0ms; ///< When the store was last read for it.
     KeyLoad m_keyLoad;
--- a/packages/core/src/rangecontrol_ranges.cpp
+++ b/packages/core/src/rangecontrol_ranges.cpp
@@ -195,7 +195,7 @@
     assignment.unconfirmedLink = !isReady && link.isOpen ? link.openedAt : 0ms;
     if (!isReady)
         return;
-    // A target can only be blamed for silence after an order, not for this daemon's connection or confirmation.
+    // Silence counts from the first order: until then this daemon's own connection or confirmation is missing.
     if (assignment.unansweredSince == 0ms)
         assignment.unansweredSince = m_now;
     if (assignment.phase == Phase::Held)
--- a/packages/daemon/src/gatewaycontrol.cpp
+++ b/packages/daemon/src/gatewaycontrol.cpp
@@ -203,7 +203,7 @@
             serviceOf(service.name).longestRequest = core::longestRequestTime(*entry.value, service.name);
     }
     reportConfigReceived();
-    m_untoldConfig = *entry.value;
+    m_pendingConfig = *entry.value;
     handOver();
 }
 
@@ -478,7 +478,7 @@
                         + " term=" + std::to_string(owners.term) + " sequence=" + std::to_string(owners.sequence)
                         + " ranges=" + std::to_string(owners.ranges.size()));
     reportEvacuated(owners.service);
-    service.areOwnersUntold = true;
+    service.areOwnersPending = true;
     handOver();
 }
 
--- a/packages/daemon/src/gatewaycontrol.h
+++ b/packages/daemon/src/gatewaycontrol.h
@@ -73,7 +73,7 @@
         std::unique_ptr<core::RangeControl> control;
         core::RangeOwners owners; ///< Latest announcement heard, ours included.
         core::Duration longestRequest{}; ///< By the configuration; see core::longestRequestTime().
-        bool areOwnersUntold = false; ///< The traffic duty lacks `owners`.
+        bool areOwnersPending = false; ///< The traffic duty lacks `owners`.
         std::string controller; ///< The daemon that sent it, or whose beats are heard.
         core::Time evacuatingSince{};
         std::array<std::uint32_t, std::variant_size_v<core::ControlEvent>> events{}; ///< Since the last report.
@@ -217,8 +217,8 @@
     bool m_isResigning = false;
     std::atomic<bool> m_hasResigned = false;
     std::uint64_t m_configVersion = 0;
-    std::optional<core::GatewayConfig> m_untoldConfig; ///< The traffic duty lacks it.
-    bool m_areTargetsUntold = false; ///< The traffic duty lacks the latest.
+    std::optional<core::GatewayConfig> m_pendingConfig; ///< The traffic duty lacks it.
+    bool m_areTargetsPending = false; ///< The traffic duty lacks the latest.
     core::StoreEra m_era = 0; ///< The latest that an answer of the store or another daemon told of.
     core::TargetRegistry m_registry;
     core::LeavingTargets m_leaving; ///< Of sharded services, by own answers and by those that others told of.
--- a/packages/daemon/src/gatewaycontrol_reports.cpp
+++ b/packages/daemon/src/gatewaycontrol_reports.cpp
@@ -90,8 +90,9 @@
             continue;
         const core::ControlWork work = service.control->takeWork();
         std::string detail = "service=" + core::logValue(name) + " span_ms=" + std::to_string(milliseconds(span))
-            + " cpu_ms=" + std::to_string(milliseconds(spent)) + " ranges=" + std::to_string(work.ranges) + " grants="
-            + std::to_string(work.grants) + " latest_ms=" + std::to_string(milliseconds(work.latestRenewal));
+            + " cpu_ms=" + std::to_string(milliseconds(spent)) + " ranges=" + std::to_string(work.ranges)
+            + " checks=" + std::to_string(work.rangeChecks) + " grants=" + std::to_string(work.grants)
+            + " latest_ms=" + std::to_string(milliseconds(work.latestRenewal));
         for (std::size_t index = 0; index < events.size(); ++index) {
             if (events.at(index) != 0)
                 detail += std::string(" ") + eventNames.at(index) + "=" + std::to_string(events.at(index));
