Split four files that had more than one job

A newcomer found who confirms a controller, where its keys go and what it sends in one or two files of over 600 lines; so with the traffic duty's work and its reports, and with a test world, its faults and its checks. Cause: each new duty was added where its class was. Functions moved as they were; only the late lists of the traffic duty's report became a function of its own.

--- a/packages/core/tests/rangeworld.cpp
+++ b/packages/core/tests/rangeworld.cpp
@@ -9,7 +9,6 @@
 
 constexpr const char *serviceName = "series";
 constexpr Duration step = 10ms;
-constexpr std::uint32_t sampleStride = 1024;
 
 } // namespace
 
@@ -63,33 +62,6 @@
     deliver(daemon, m_daemons[daemon].identity.incarnation, StoreEraSeen{m_era});
 }
 
-void RangeWorld::restoreStore(Duration age, Duration away)
-{
-    const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-    addTrace("the store goes away and will return as of " + std::to_string(ageMs) + " ms before");
-    ++m_restoresUnderWay;
-    schedule(away, [this, copiedAt = m_now - age] {
-        --m_restoresUnderWay;
-        const auto later = std::find_if(m_copies.begin(), m_copies.end(),
-                                        [copiedAt](const StoreCopy &copy) { return copy.at > copiedAt; });
-        const StoreCopy copy = later == m_copies.begin() ? StoreCopy{} : *std::prev(later);
-        m_record = copy.record;
-        m_recordRevision = copy.recordRevision;
-        m_revision = copy.revision;
-        ++m_era;
-        keepCopy();
-        addTrace("the store is back in era " + std::to_string(m_era));
-        publishTargets();
-        // Daemons learn of the era when a call of theirs, or another daemon's notice, brings it.
-        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-            schedule(randomDelay(5, 1500), [this, index] {
-                if (m_daemons[index].control != nullptr && isStoreReachable(index))
-                    publishEra(index);
-            });
-        }
-    });
-}
-
 void RangeWorld::publishPeers()
 {
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
@@ -130,61 +102,6 @@
     publishTargets();
 }
 
-void RangeWorld::crashTarget(const std::string &id, bool isSilent)
-{
-    addTrace(id + (isSilent ? " stops responding" : " crashes"));
-    Target &target = m_targets.at(id);
-    if (isSilent) {
-        target.isSilent = true;
-    } else {
-        target.isUp = false;
-        target.holds.clear();
-    }
-    schedule(2600ms, [this, id] {
-        if (Target &crashed = m_targets.at(id); !crashed.isUp || crashed.isSilent) {
-            crashed.isRegistered = false;
-            publishTargets();
-        }
-    });
-}
-
-void RangeWorld::drainTarget(const std::string &id)
-{
-    addTrace(id + " drains");
-    m_targets.at(id).entry.isDraining = true;
-    publishTargets();
-}
-
-void RangeWorld::rebearTarget(const std::string &id, bool keepsId, Duration listedAfter)
-{
-    Target &former = m_targets.at(id);
-    former.holds.clear();
-    former.highestFences.clear();
-    Target reborn = former;
-    reborn.entry.identity.incarnation = m_nextIncarnation++;
-    reborn.listedFrom = m_now + listedAfter;
-    if (!keepsId) {
-        reborn.entry.identity.id = "target" + std::to_string(m_targets.size());
-        reborn.listed = {};
-        former.isUp = false;
-        former.isReplaced = true;
-        schedule(2600ms, [this, id] {
-            m_targets.at(id).isRegistered = false;
-            publishTargets();
-        });
-    }
-    addTrace(id + "'s address is taken over by " + reborn.entry.identity.id + " incarnation "
-             + std::to_string(reborn.entry.identity.incarnation));
-    m_targets[reborn.entry.identity.id] = reborn;
-    schedule(listedAfter, [this] { publishTargets(); });
-}
-
-void RangeWorld::cutLink(std::size_t daemon, const std::string &target, Duration length)
-{
-    addTrace("link from " + m_daemons[daemon].identity.id + " to " + target + " is cut");
-    m_linkCutUntil[{daemon, m_targets.at(target).entry.address}] = m_now + length;
-}
-
 RangeWorld::Target *RangeWorld::targetAt(const std::string &address)
 {
     for (auto &[id, target] : m_targets) {
@@ -210,80 +127,6 @@
     deliver(index, m_daemons[index].identity.incarnation, KeyLoadReport{requests, {}});
 }
 
-void RangeWorld::killDaemon(std::size_t index)
-{
-    addTrace(m_daemons[index].identity.id + " is killed");
-    m_daemons[index].control.reset();
-    m_daemons[index].deadUntil = m_now + randomDelay(500, 4000);
-}
-
-void RangeWorld::loseDaemon(std::size_t index)
-{
-    killDaemon(index);
-    m_daemons[index].deadUntil = Time::max();
-}
-
-void RangeWorld::freezeDaemon(std::size_t index, Duration length)
-{
-    addTrace(m_daemons[index].identity.id + " freezes");
-    m_daemons[index].frozenUntil = m_now + length;
-}
-
-std::size_t RangeWorld::controllers() const
-{
-    return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](const Daemon &daemon) {
-        return daemon.control != nullptr && daemon.control->isController();
-    }));
-}
-
-std::size_t RangeWorld::controllerIndex() const
-{
-    std::size_t best = 0;
-    std::uint64_t term = 0;
-    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-        const auto &control = m_daemons[index].control;
-        if (control != nullptr && control->isController() && control->term() >= term) {
-            best = index;
-            term = control->term();
-        }
-    }
-    return best;
-}
-
-std::vector<std::size_t> RangeWorld::otherVoters() const
-{
-    std::vector<std::size_t> indices;
-    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-        const DaemonIdentity &identity = m_daemons[index].identity;
-        if (index != controllerIndex()
-            && std::find(m_record->voters.begin(), m_record->voters.end(), identity) != m_record->voters.end())
-            indices.push_back(index);
-    }
-    return indices;
-}
-
-std::vector<std::string> RangeWorld::holders() const
-{
-    std::vector<std::string> holders;
-    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
-        const auto found = m_lastHolder.find(key);
-        holders.push_back(found == m_lastHolder.end() ? std::string() : found->second);
-    }
-    return holders;
-}
-
-void RangeWorld::forceHold(const std::string &id, const KeyRange &range)
-{
-    m_targets.at(id).holds.push_back({range, 1, m_now + 5s});
-}
-
-void RangeWorld::forceGrant(const std::string &id, const KeyRange &range, std::uint64_t fence)
-{
-    Target &target = m_targets.at(id);
-    target.highestFences.clear();
-    applyOrder(target, {0, false, id, target.entry.address, range, fence, 5s, 0ms, 0ms, {}}, m_now);
-}
-
 void RangeWorld::deliver(std::size_t index, std::uint64_t incarnation, const ControlEvent &event)
 {
     Daemon &daemon = m_daemons[index];
@@ -531,118 +374,6 @@
     return text;
 }
 
-void RangeWorld::drawFault()
-{
-    const auto randomIndex
-        = [this](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random); };
-    const std::size_t daemon = chance(0.5) ? controllerIndex() : randomIndex(m_daemons.size());
-    if (m_faults.controllers) {
-        const std::size_t kind = randomIndex(4);
-        if (kind == 0)
-            killDaemon(daemon);
-        else if (kind == 1)
-            freezeDaemon(daemon, randomDelay(200, 6000));
-        else if (kind == 2)
-            m_daemons[daemon].isCutFromPeers = !m_daemons[daemon].isCutFromPeers;
-    }
-    if (m_faults.store) {
-        const std::size_t kind = randomIndex(4);
-        if (kind == 0)
-            m_daemons[daemon].isCutFromStore = !m_daemons[daemon].isCutFromStore;
-        else if (kind == 1 && !m_isStoreDown)
-            m_isStoreDown = true;
-        else if (m_isStoreDown) {
-            m_isStoreDown = false;
-            publishTargets();
-        }
-    }
-    if (m_faults.restores && m_restoresUnderWay == 0 && chance(0.25))
-        restoreStore(randomDelay(0, 20000), randomDelay(0, 5000));
-    if (!m_faults.targets && !m_faults.rebirths && !m_faults.links)
-        return;
-    auto victim = m_targets.begin();
-    std::advance(victim, static_cast<std::ptrdiff_t>(randomIndex(m_targets.size())));
-    const std::string id = victim->first;
-    // One draw a statement: the order of draws in the arguments of a call differs between compilers.
-    if (m_faults.links && chance(0.5)) {
-        const std::size_t sender = chance(0.5) ? controllerIndex() : daemon;
-        cutLink(sender, id, randomDelay(100, 5000));
-    }
-    if (m_faults.rebirths && victim->second.isUp && chance(0.5)) {
-        const bool keepsId = chance(0.5);
-        rebearTarget(id, keepsId, randomDelay(50, 1500));
-    }
-    if (!m_faults.targets || victim->second.isReplaced)
-        return;
-    const auto ready = std::count_if(m_targets.begin(), m_targets.end(), [](const auto &entry) {
-        return entry.second.isUp && !entry.second.isSilent && !entry.second.entry.isDraining;
-    });
-    Target &target = victim->second;
-    const bool isAvailable = target.isUp && !target.isSilent && !target.entry.isDraining;
-    if (isAvailable && ready > 3) {
-        const std::size_t kind = randomIndex(4);
-        if (kind == 0)
-            crashTarget(id, false);
-        else if (kind == 1)
-            crashTarget(id, true);
-        else if (kind == 2)
-            drainTarget(id);
-        else
-            target.isRegistered = !target.isRegistered;
-        publishTargets();
-    } else if (!isAvailable) {
-        restore(id);
-        publishTargets();
-    }
-}
-
-void RangeWorld::restore(const std::string &id)
-{
-    Target &target = m_targets.at(id);
-    // A silent target returns as the same incarnation. One that was down or draining restarts as a new one.
-    if (!target.isUp || target.entry.isDraining) {
-        target.holds.clear();
-        target.highestFences.clear();
-        target.entry.identity.incarnation = m_nextIncarnation++;
-    }
-    addTrace(id + " is back, incarnation " + std::to_string(target.entry.identity.incarnation));
-    target.isUp = true;
-    target.isSilent = false;
-    target.isRegistered = true;
-    target.entry.isDraining = false;
-}
-
-void RangeWorld::check()
-{
-    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
-        std::string holder;
-        std::uint64_t fence = 0;
-        for (auto &[id, target] : m_targets) {
-            if (!target.isUp)
-                continue;
-            for (const Hold &hold : target.holds) {
-                if (!hold.range.contains(key) || hold.until <= m_now)
-                    continue;
-                if (!holder.empty() && holder != id)
-                    m_violations.push_back("key " + std::to_string(key) + " at " + holder + " and " + id);
-                holder = id;
-                fence = hold.fence;
-            }
-        }
-        if (holder.empty()) {
-            m_longestGap = std::max(m_longestGap, m_now - m_heldAt[key]);
-            continue;
-        }
-        m_heldAt[key] = m_now;
-        if (auto &last = m_lastHolder[key]; last != holder) {
-            if (fence <= m_lastFence[key])
-                m_violations.push_back("key " + std::to_string(key) + " went to " + holder + " without a higher fence");
-            last = holder;
-        }
-        m_lastFence[key] = std::max(m_lastFence[key], fence);
-    }
-}
-
 void RangeWorld::run(Duration length, bool isCalm)
 {
     const Time end = m_now + length;
@@ -681,48 +412,4 @@
     }
 }
 
-void RangeWorld::heal()
-{
-    m_faults = {};
-    m_isStoreDown = false;
-    m_linkCutUntil.clear();
-    for (const auto &[id, target] : m_targets) {
-        if (!target.isReplaced && (!target.isUp || target.isSilent || !target.isRegistered || target.entry.isDraining))
-            restore(id);
-    }
-    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-        m_daemons[index].isCutFromPeers = m_daemons[index].isCutFromStore = false;
-        m_daemons[index].frozenUntil = 0ms;
-        if (m_daemons[index].control == nullptr)
-            startDaemon(index);
-    }
-    publishPeers();
-    publishTargets();
-}
-
-double RangeWorld::servedShare() const
-{
-    const RangeOwners &owners = m_daemons[controllerIndex()].owners;
-    std::size_t served = 0;
-    std::size_t all = 0;
-    for (std::uint32_t key = 0; key <= lastKey; key += sampleStride) {
-        ++all;
-        const RoutedRange *range = owners.find(key);
-        if (range == nullptr || range->state != RangeState::Held || !m_targets.contains(range->owner))
-            continue;
-        const Target &target = m_targets.at(range->owner);
-        const bool isHeld = std::any_of(target.holds.begin(), target.holds.end(), [&](const Hold &hold) {
-            return hold.range.contains(key) && hold.until > m_now;
-        });
-        if (target.isUp && isHeld)
-            ++served;
-    }
-    return static_cast<double>(served) / static_cast<double>(all);
-}
-
-Duration RangeWorld::takeLongestGap()
-{
-    return std::exchange(m_longestGap, Duration(0));
-}
-
 } // namespace sardinehinge::core::tests
--- a/packages/core/tests/rangeworld.h
+++ b/packages/core/tests/rangeworld.h
@@ -13,6 +13,8 @@
 
 namespace sardinehinge::core::tests {
 
+constexpr std::uint32_t sampleStride = 1024; ///< Between the keys whose service is watched.
+
 /// Kinds of faults that a simulation injects at random.
 struct RangeFaults
 {
--- a/packages/daemon/src/gatewaytraffic.cpp
+++ b/packages/daemon/src/gatewaytraffic.cpp
@@ -1,5 +1,6 @@
 #include "gatewaytraffic.h"
 
+#include "gatewaytrafficnames.h"
 #include "milliseconds.h"
 
 #include <sardinehinge/core/admission/pipelining.h>
@@ -16,8 +17,6 @@
 constexpr std::size_t updateRing = 1024;
 /// Timeouts are late by at most this much; finer steps cost wake-ups.
 constexpr std::chrono::milliseconds timerStep(20);
-/// How often the controllers of sharded services learn of the load by key.
-constexpr std::chrono::milliseconds loadReportPeriod(500);
 /// How often targets are counted by condition.
 constexpr std::chrono::milliseconds surveyPeriod(500);
 /// Descriptors that aren't for callers: files, the store, peers and connections to targets.
@@ -25,9 +24,6 @@
 /// A caller that reads nothing of its answer for so long is given up.
 constexpr std::chrono::seconds writeTime(20);
 
-/// A list of targets that has waited for so long is reported.
-constexpr std::chrono::milliseconds noticeableDelay(100);
-
 /// When a caller may come again that found no room for its request.
 constexpr std::chrono::seconds noRoomRetryAfter(1);
 
@@ -50,33 +46,6 @@
     std::shared_ptr<http::ByteShare> share;
 };
 
-const char *nameOf(core::GatewayError error)
-{
-    switch (error) {
-    case core::GatewayError::NoConfiguration:
-        return "no_configuration";
-    case core::GatewayError::NoRoute:
-        return "no_route";
-    case core::GatewayError::MissingKey:
-        return "missing_key";
-    case core::GatewayError::NoTarget:
-        return "no_target";
-    case core::GatewayError::NoOwner:
-        return "no_owner";
-    case core::GatewayError::Overloaded:
-        return "overloaded";
-    case core::GatewayError::TimedOut:
-        return "timed_out";
-    case core::GatewayError::ResponseLost:
-        return "answer_lost";
-    case core::GatewayError::Quarantined:
-        return "quarantined";
-    case core::GatewayError::Stopping:
-        return "stopping";
-    }
-    return "unknown";
-}
-
 /// 503 promises that the request has not run and never will; the others promise nothing.
 int statusOf(const core::EndWithError &end)
 {
@@ -89,54 +58,6 @@
     return end.error == core::GatewayError::TimedOut ? statusTimeout : statusBadGateway;
 }
 
-const char *nameOf(core::AttemptEnd end)
-{
-    switch (end) {
-    case core::AttemptEnd::Answered:
-        return "answered";
-    case core::AttemptEnd::Shed:
-        return "shed";
-    case core::AttemptEnd::NotOwner:
-        return "not_owner";
-    case core::AttemptEnd::Draining:
-        return "leaving";
-    case core::AttemptEnd::NothingSent:
-        return "nothing_sent";
-    case core::AttemptEnd::AnswerLost:
-        return "answer_lost";
-    case core::AttemptEnd::AnswerTruncated:
-        return "answer_truncated";
-    case core::AttemptEnd::LeaseLost:
-        return "lease_lost";
-    }
-    return "unknown";
-}
-
-const char *nameOf(http::CloseReason reason)
-{
-    switch (reason) {
-    case http::CloseReason::IdleTimeout:
-        return "idle_timeout";
-    case http::CloseReason::ReadTimeout:
-        return "read_timeout";
-    case http::CloseReason::ReadFailed:
-        return "read_failed";
-    case http::CloseReason::WriteFailed:
-        return "write_failed";
-    case http::CloseReason::Drain:
-        return "drain";
-    case http::CloseReason::ConnectionLimit:
-        return "connection_limit";
-    case http::CloseReason::Displaced:
-        return "displaced";
-    case http::CloseReason::NoRoom:
-        return "no_room";
-    case http::CloseReason::CallerLeft:
-        return "caller_left";
-    }
-    return "unknown";
-}
-
 std::string secondsText(core::Duration duration)
 {
     // Seconds with two decimals: callers take fractions.
@@ -155,27 +76,6 @@
     return limits;
 }
 
-const char *nameOf(core::TargetSignal signal)
-{
-    switch (signal) {
-    case core::TargetSignal::Leaving:
-        return "leaving";
-    case core::TargetSignal::Quiet:
-        return "quiet";
-    case core::TargetSignal::RateLimit:
-        return "rate_limit";
-    }
-    return "unknown";
-}
-
-const char *nameOf(core::SignalSource source)
-{
-    return source == core::SignalSource::Order ? "order" : "request";
-}
-
-constexpr std::array<const char *, core::targetConditions> conditionNames
-    = {"ready", "warming_up", "rate_limited", "ejected", "quiet", "draining", "leaving"};
-
 } // namespace
 
 void GatewayTraffic::ReadyHandler::handle(std::uint64_t, http::Request, std::shared_ptr<http::Responder> responder)
@@ -317,17 +217,7 @@
 {
     m_hasTargets = true;
     const core::Time begin = bootTime();
-    ++m_targetUpdates;
-    if (begin - update.sentAt >= noticeableDelay) {
-        const core::Duration used = m_worker.cpuTime();
-        if (const auto suppressed = m_lateLines.take(begin))
-            m_events.record(Severity::Warning, core::events::dutyLate,
-                            "duty=traffic late_ms=" + std::to_string(milliseconds(begin - update.sentAt))
-                                + " target_lists=" + std::to_string(std::exchange(m_targetUpdates, 0))
-                                + " cpu_ms=" + std::to_string(milliseconds(used - m_lateCpu))
-                                + " suppressed=" + std::to_string(*suppressed));
-        m_lateCpu = used;
-    }
+    reportWait(begin - update.sentAt, begin);
     carryOut(m_router.setTargets(update.targets, begin));
     surveyTargets(bootTime());
     m_isReady.store(m_router.hasConfig() && !m_isStopping.load());
@@ -415,24 +305,6 @@
     return response;
 }
 
-void GatewayTraffic::connectionClosed(const http::ConnectionEnd &end)
-{
-    if (end.reason == http::CloseReason::Displaced) {
-        if (const auto suppressed = m_displacedLines.take(bootTime()))
-            m_events.record(Severity::Warning, core::events::callerDisplaced,
-                            "peer=" + end.peer + " idle_ms=" + std::to_string(milliseconds(end.idleTime))
-                                + " requests=" + std::to_string(end.requests)
-                                + " connections=" + std::to_string(m_callers.connections())
-                                + " suppressed=" + std::to_string(*suppressed));
-        return;
-    }
-    const bool isUsual = end.reason == http::CloseReason::IdleTimeout || end.reason == http::CloseReason::Drain;
-    m_events.record(isUsual && !end.hasInput ? Severity::Debug : Severity::Info, core::events::callerConnectionClosed,
-                    "peer=" + end.peer + " reason=" + nameOf(end.reason)
-                        + " idle_ms=" + std::to_string(milliseconds(end.idleTime))
-                        + " requests=" + std::to_string(end.requests) + " input=" + (end.hasInput ? "yes" : "no"));
-}
-
 void GatewayTraffic::carryOut(const core::GatewayRouter::Effects &effects)
 {
     for (const core::GatewayEffect &effect : effects)
@@ -621,40 +493,4 @@
         surveyTargets(now);
 }
 
-void GatewayTraffic::surveyTargets(core::Time now)
-{
-    m_lastSurvey = now;
-    carryOut(m_router.surveyTargets(now));
-    for (std::size_t index = 0; index < core::targetConditions; ++index)
-        m_targetCounts.at(index).store(m_router.targetCounts().at(index));
-    showSpill();
-    std::erase_if(m_untold, [this](const core::TargetBelief &belief) { return m_tellControl(belief); });
-}
-
-void GatewayTraffic::showSpill()
-{
-    for (const auto &[service, share] : m_router.spillShares()) {
-        auto &shown = m_spillShares[service];
-        if (!shown) {
-            shown = std::make_shared<std::atomic<double>>(0.0);
-            m_metrics.addGauge("sardinehinge_spill_share",
-                               "Share of a service's requests that may leave the failure domain",
-                               {{"service", service}}, [shown] { return shown->load(); });
-        }
-        shown->store(share);
-    }
-}
-
-void GatewayTraffic::reportLoad(core::Time now)
-{
-    if (now - m_lastLoadReport < loadReportPeriod)
-        return;
-    m_lastLoadReport = now;
-    for (const std::string &service : m_shardedServices) {
-        auto load = m_router.takeKeyLoad(service);
-        if (!load.empty())
-            m_tellControl(ServiceKeyLoad{service, {std::move(load), m_router.takeRelativeLatencies(service)}});
-    }
-}
-
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaytraffic.h
+++ b/packages/daemon/src/gatewaytraffic.h
@@ -108,6 +108,8 @@
     void act(const core::SpillReport &effect);
     void attemptEnded(core::RequestId id, std::uint32_t attempt, const std::string &service,
                       const core::TargetIdentity &target, http::ExchangeResult end);
+    // In gatewaytraffic_reports.cpp.
+    void reportWait(core::Duration wait, core::Time now);
     void surveyTargets(core::Time now);
     void showSpill();
     void armTimer();
