--- a/packages/core/include/sardinehinge/core/membership/changetiming.h
+++ b/packages/core/include/sardinehinge/core/membership/changetiming.h
@@ -13,7 +13,7 @@
 /// For a whole answer of another daemon. A daemon that gets none calls the store.
 constexpr Duration peerReadTimeout = std::chrono::milliseconds(400);
 /// Pause of a daemon that isn't watching for others, for each daemon: the calls that a series of changes costs the
-/// store stay the same whatever the size of the fleet.
+/// store stay the same for any size of the fleet.
 constexpr Duration pausePerDaemon = std::chrono::milliseconds(9);
 
 /// The pause of a daemon that isn't watching for others, in a fleet of `daemons`.
--- a/packages/core/tests/rangeworld_faults.cpp
+++ b/packages/core/tests/rangeworld_faults.cpp
@@ -8,7 +8,7 @@
 void RangeWorld::restoreStore(Duration age, Duration away)
 {
     const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-    addTrace("the store goes away and will return as of " + std::to_string(ageMs) + " ms before");
+    addTrace("the store is away and will return as of " + std::to_string(ageMs) + " ms before");
     ++m_restoresUnderWay;
     schedule(away, [this, copiedAt = m_now - age] {
         --m_restoresUnderWay;
--- a/packages/daemon/src/feedwatcher.h
+++ b/packages/daemon/src/feedwatcher.h
@@ -138,7 +138,7 @@
             listAgain();
     }
     /// Another daemon had come so far at `answeredAt`, when the store answered it.
-    void told(const core::FeedPosition &position, core::Time answeredAt)
+    void noticed(const core::FeedPosition &position, core::Time answeredAt)
     {
         eraSeen(position.era);
         if (!m_isListed || position.era < m_era)
--- a/packages/daemon/src/gatewaycontrol_evacuations.cpp
+++ b/packages/daemon/src/gatewaycontrol_evacuations.cpp
@@ -153,7 +153,7 @@
         // The notice has all entries, so it replaces all that was known.
         m_evacuationFeed->takeFrom(entries, 0, position.changedAt, position.era);
     }
-    m_evacuationFeed->told(position, now - notice.age);
+    m_evacuationFeed->noticed(position, now - notice.age);
 }
 
 } // namespace sardinehinge::daemon
--- a/packages/daemon/src/gatewaycontrol_peers.cpp
+++ b/packages/daemon/src/gatewaycontrol_peers.cpp
@@ -243,8 +243,8 @@
     const core::Time now = bootTime();
     eraSeen(std::max({message.configs.era, message.targets.era, message.evacuations.era}));
     m_roster.noticeReceived(message, now);
-    m_configs.told(message.configs, now - message.age);
-    m_targetFeed.told(message.targets, now - message.age);
+    m_configs.noticed(message.configs, now - message.age);
+    m_targetFeed.noticed(message.targets, now - message.age);
     takeEvacuations(message, now);
 }
 
--- a/packages/daemon/tests/feedrelay_test.cpp
+++ b/packages/daemon/tests/feedrelay_test.cpp
@@ -135,7 +135,7 @@
     }));
     INFO(name);
     Follower follower;
-    follower.watcher.told({20, 20, 0, 1}, 0ms);
+    follower.watcher.noticed({20, 20, 0, 1}, 0ms);
     REQUIRE(follower.reads == std::vector<std::uint64_t>{10});
     REQUIRE(follower.feed.watches.empty());
     follower.pending(answers);
@@ -148,8 +148,8 @@
 TEST_CASE("News that come while others are read are read next")
 {
     Follower follower;
-    follower.watcher.told({20, 20, 0, 1}, 0ms);
-    follower.watcher.told({30, 30, 0, 1}, 0ms);
+    follower.watcher.noticed({20, 20, 0, 1}, 0ms);
+    follower.watcher.noticed({30, 30, 0, 1}, 0ms);
     REQUIRE(follower.reads.size() == 1);
     std::exchange(follower.pending, nullptr)({{10, 20, "b 2"}});
     REQUIRE(follower.reads == std::vector<std::uint64_t>{10, 20});
@@ -187,7 +187,7 @@
         store == Store::Refusing ? answer({edges::StoreOutcome::Refused, {}, 0, false, {}, 0, {}})
                                  : answer({edges::StoreOutcome::Ok, {{"b", 2, {}}}, 20, false, {}, 1, {}});
     };
-    const auto notify = [&] { daemon.watcher.told({20, 20, 0, 1}, 0ms); };
+    const auto notify = [&] { daemon.watcher.noticed({20, 20, 0, 1}, 0ms); };
     notify();
     if (!isWatching) {
         // A follower asks the other daemon first, which doesn't have the news yet.
@@ -215,7 +215,7 @@
 TEST_CASE("An answer of a peer is dropped when a later era is known by then")
 {
     Follower follower;
-    follower.watcher.told({20, 20, 0, 1}, 0ms);
+    follower.watcher.noticed({20, 20, 0, 1}, 0ms);
     follower.watcher.eraSeen(2);
     follower.pending({{10, 20, "b 2"}});
     follower.run();
--- a/packages/daemon/tests/feedwatcher_test.cpp
+++ b/packages/daemon/tests/feedwatcher_test.cpp
@@ -105,10 +105,10 @@
     CHECK(watching.feed.calls.size() == 1);
     Listed following(false);
     CHECK(following.feed.calls.empty());
-    following.watcher.told({9, 30}, 0ms); // No change since its list.
+    following.watcher.noticed({9, 30}, 0ms); // No change since its list.
     following.run();
     CHECK(following.feed.calls.empty());
-    following.watcher.told({31, 31}, 0ms);
+    following.watcher.noticed({31, 31}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     CHECK(following.feed.calls.front().revision == 30);
@@ -129,7 +129,7 @@
         = GENERATE(values<Case>({{0ms, false}, {99ms, false}, {800ms, false}, {800ms, true}}));
     Listed following(false);
     following.watcher.setSparing(sparing);
-    following.watcher.told({31, 31}, 0ms);
+    following.watcher.noticed({31, 31}, 0ms);
     following.run();
     // The list began a pause.
     if (following.feed.calls.empty())
@@ -137,7 +137,7 @@
     REQUIRE(following.feed.calls.size() == 1);
     following.feed.answer({{"b", 2, {}}}, 31);
     if (isPausing)
-        following.watcher.told({41, 41}, 0ms);
+        following.watcher.noticed({41, 41}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.empty());
     following.watcher.setWatching(true);
@@ -160,7 +160,7 @@
     Listed following(false);
     following.watcher.takeFrom({{"a", std::nullopt, {}}, {"b", 2, {}}}, base, revision, 0);
     CHECK((following.values == std::map<std::string, int>{{"b", 2}}) == isTaken);
-    following.watcher.told({revision, revision}, 0ms);
+    following.watcher.noticed({revision, revision}, 0ms);
     following.run();
     CHECK(following.feed.calls.empty() == (isTaken || revision <= 10));
 }
@@ -168,7 +168,7 @@
 TEST_CASE("A late answer of the store does not undo what another daemon passed on since")
 {
     Listed following(false);
-    following.watcher.told({12, 12}, 0ms);
+    following.watcher.noticed({12, 12}, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     following.watcher.takeFrom({{"a", 3, {}}}, 10, 15, 0);
@@ -183,20 +183,20 @@
     watching.feed.answer({}, 20); // The watch heard nothing, although b came at 15.
     watching.run();
     Listed following(false);
-    following.watcher.told(watching.watcher.position(), 0ms);
+    following.watcher.noticed(watching.watcher.position(), 0ms);
     watching.feed.answer({}, 0, edges::StoreOutcome::HistoryGone);
     watching.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
     watching.run();
     CHECK(watching.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
 
-    following.watcher.told(watching.watcher.position(), 0ms);
+    following.watcher.noticed(watching.watcher.position(), 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == 1);
     CHECK(following.feed.calls.front().revision == 0); // A list, since a watch from 20 on would not show b.
     following.feed.answer({{"a", 1, {}}, {"b", 2, {}}}, 25);
     following.run();
     CHECK(following.values == std::map<std::string, int>{{"a", 1}, {"b", 2}});
-    following.watcher.told(watching.watcher.position(), 0ms);
+    following.watcher.noticed(watching.watcher.position(), 0ms);
     following.run();
     CHECK(following.feed.calls.empty());
 }
@@ -207,7 +207,7 @@
     constexpr core::Duration mostBetweenCalls = 1s;
     const auto timing = GENERATE(daemon::FeedTiming(), daemon::configFeedTiming(1s));
     Listed following(false, timing);
-    following.watcher.told({30, 30}, 0ms);
+    following.watcher.noticed({30, 30}, 0ms);
     const auto start = std::chrono::steady_clock::now();
     auto lastCall = start;
     core::Duration longest = 0ms;
@@ -228,9 +228,9 @@
     Listed following(false);
     const core::Time listed = following.watcher.completeAt();
     CHECK(listed > 0ms);
-    following.watcher.told({10, 30}, listed + 5s); // No change since.
+    following.watcher.noticed({10, 30}, listed + 5s); // No change since.
     CHECK(following.watcher.completeAt() == listed + 5s);
-    following.watcher.told({31, 31}, listed + 9s); // A change that isn't known yet.
+    following.watcher.noticed({31, 31}, listed + 9s); // A change that isn't known yet.
     CHECK(following.watcher.completeAt() == listed + 5s);
 }
 
@@ -300,7 +300,7 @@
         {{90, 90, 0, 0}, false},
     }));
     Listed following(false, Listed::shortPauses(), 5);
-    following.watcher.told(told, 0ms);
+    following.watcher.noticed(told, 0ms);
     following.run();
     REQUIRE(following.feed.calls.size() == (lists ? 1 : 0));
     CHECK(following.watcher.position() == core::FeedPosition{10, 10, 0, 5});
@@ -311,7 +311,7 @@
 TEST_CASE("News told of in an earlier era isn't asked for once the store has fallen behind it")
 {
     Listed following(false, Listed::shortPauses(), 1);
-    following.watcher.told({500, 500, 0, 1}, 0ms);
+    following.watcher.noticed({500, 500, 0, 1}, 0ms);
     following.run();
     following.feed.era = 2;
     following.feed.answer({}, 9);
@@ -364,7 +364,7 @@
     timing.wait = timing.catchUpWait = 200ms;
     Listed feed(isWatching, timing);
     std::uint64_t revision = 100;
-    feed.watcher.told({revision, revision}, 0ms); // A follower calls, too, and goes on until it is answered.
+    feed.watcher.noticed({revision, revision}, 0ms); // A follower calls, too, and goes on until it is answered.
     feed.run();
     bool isAnswered = true;
     for (const Call call : calls) {
@@ -378,7 +378,7 @@
             feed.feed.answer({}, 0, call == Call::Refused ? edges::StoreOutcome::Refused : edges::StoreOutcome::Lost);
         isAnswered = call == Call::Answered || call == Call::Changed;
         if (isAnswered)
-            feed.watcher.told({revision + 1, ++revision}, 0ms);
+            feed.watcher.noticed({revision + 1, ++revision}, 0ms);
         feed.run();
     }
     CHECK(feed.cuts == cuts);
--- a/packages/daemon/tests/pagedlist_test.cpp
+++ b/packages/daemon/tests/pagedlist_test.cpp
@@ -262,7 +262,7 @@
     if (isAfterCalls) {
         const core::FeedPosition before = copy.watcher.position();
         core::FeedPosition news{before.completeTo + 10, before.completeTo + 10, 0, copy.store.era};
-        copy.watcher.told(news, 0ms);
+        copy.watcher.noticed(news, 0ms);
         copy.run();
         copy.settle(12);
     }
@@ -354,12 +354,12 @@
     if (relay.passesOn)
         copy.watcher.takeFrom({{"a", targetOf("a", 1, true), {}}}, before, afterFirst, 1);
     if (relay.notifiesBefore)
-        copy.watcher.told({before, before, 0, 1}, daemon::bootTime());
+        copy.watcher.noticed({before, before, 0, 1}, daemon::bootTime());
     if (relay.notifies)
-        copy.watcher.told({after, after, 0, 1}, daemon::bootTime());
+        copy.watcher.noticed({after, after, 0, 1}, daemon::bootTime());
     copy.settle(12);
     // The next notice comes within 0.3 s. By then a follower whose list was whole before the change knows of it.
-    copy.watcher.told({after, after + 1, 0, 1}, daemon::bootTime());
+    copy.watcher.noticed({after, after + 1, 0, 1}, daemon::bootTime());
     copy.run();
     copy.settle(4);
     CHECK(copy.known() == copy.store.objects);
